--- /dev/null
+++ b/cmd/balsamctl/main.go
@@ -0,0 +1,4 @@
+// Command balsamctl is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsamleaf/main.go
@@ -0,0 +1,4 @@
+// Command balsamleaf is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsamload/main.go
@@ -0,0 +1,4 @@
+// Command balsamload is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsamwinch/main.go
@@ -0,0 +1,4 @@
+// Command balsamwinch is under construction.
+package main
+
+func main() {}
