--- /dev/null
+++ b/backend/exchange.go
@@ -0,0 +1,231 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// query sends a request over the connection, which it gives back to the pool.
+func (po *pool) query(ctx context.Context, cn *conn, ta Target, rq Request) (Reply, *Error) {
+	if er := stampTimeout(ctx, po, &rq); er != nil {
+		cn.reusable = true
+		po.release(cn)
+		return Reply{}, er
+	}
+	bs, er := cn.exchange(ctx, QueryPath, rq, po.silentAfter(ta))
+	if er != nil {
+		po.fail(cn, ta, rq, er)
+		return Reply{}, er
+	}
+	var re Reply
+	er = cn.decode(bs, &re)
+	if er == nil {
+		er = checkReply(ta, rq, re)
+	}
+	if er != nil {
+		po.fail(cn, ta, rq, er)
+		return Reply{}, er
+	}
+	po.release(cn)
+	return re, nil
+}
+
+// stampTimeout sets the time left of the context's deadline in the request.
+func stampTimeout(ctx context.Context, po *pool, rq *Request) *Error {
+	until, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	left := until.Sub(po.cl.ts.Now()).Milliseconds()
+	if left <= 0 {
+		return &Error{Kind: Deadline, Server: po.ta.Server, Err: context.DeadlineExceeded}
+	}
+	if rq.TimeoutMillis == 0 || left < rq.TimeoutMillis {
+		rq.TimeoutMillis = left
+	}
+	return nil
+}
+
+func (po *pool) silentAfter(ta Target) time.Duration {
+	if ta.SilentAfter > 0 {
+		return ta.SilentAfter
+	}
+	return po.cl.cf.SilentAfter
+}
+
+func (cn *conn) decode(bs []byte, out any) *Error {
+	err := json.Unmarshal(bs, out)
+	if cn.in.Cap() > keptBytes {
+		cn.in = bytes.Buffer{}
+	}
+	if err != nil {
+		return cn.malformed(err)
+	}
+	return nil
+}
+
+// checkReply refuses a reply that is not for the request. A backend server, or
+// something before it, can mix up replies; it shows as the rows of another
+// query, shard or snapshot in an answer. Each reply states what it is for, and
+// one that differs in anything is no answer, whatever its code.
+func checkReply(ta Target, rq Request, re Reply) *Error {
+	crossed := func(field string, want, got any) *Error {
+		return &Error{Kind: Crossed, Server: ta.Server, Sent: true, Err: fmt.Errorf("%s: want %v, got %v", field, want, got)}
+	}
+	switch {
+	case re.RequestID != rq.RequestID:
+		return crossed("RequestID", rq.RequestID, re.RequestID)
+	case re.Server != ta.Server:
+		return crossed("Server", ta.Server, re.Server)
+	case re.Shard != rq.Shard:
+		return crossed("Shard", rq.Shard, re.Shard)
+	case re.Snapshot != rq.Snapshot:
+		return crossed("Snapshot", rq.Snapshot, re.Snapshot)
+	case !re.Code.known():
+		return &Error{Kind: Malformed, Server: ta.Server, Sent: true, Err: fmt.Errorf("Code: %q is not known", re.Code)}
+	}
+	return nil
+}
+
+func (rc ReplyCode) known() bool {
+	switch rc {
+	case ReplyOK, ReplyDeadlinePassed, ReplyCancelled, ReplyFailed:
+		return true
+	default:
+		return rc.NotRun()
+	}
+}
+
+// fail gives a connection back after a failed exchange, and sees to the request
+// if the backend server may still run it.
+func (po *pool) fail(cn *conn, ta Target, rq Request, er *Error) {
+	lingers := false
+	switch er.Kind {
+	case Silent:
+		po.abandon(cn)
+	case Cancelled, Deadline:
+		lingers = er.Sent && cn.resumable()
+		if lingers {
+			po.linger(cn)
+		} else {
+			po.discard(cn)
+		}
+	case Malformed:
+		if !er.Sent {
+			po.release(cn)
+			return
+		}
+		po.discard(cn)
+	case Crossed:
+		po.discardCrossed(cn, rq, er)
+	default:
+		po.discard(cn)
+	}
+	if !er.Sent {
+		return
+	}
+	if !lingers {
+		cn = nil
+	}
+	go po.settle(cn, ta, rq.RequestID, er.Kind)
+}
+
+func (po *pool) discardCrossed(cn *conn, rq Request, er *Error) {
+	po.mu.Lock()
+	po.st.Crossed++
+	po.mu.Unlock()
+	po.discard(cn)
+	po.cl.lg.Warn("backend.reply.crossed", zap.String("Server", cn.ta.Server),
+		zap.String("RequestID", rq.RequestID), zap.Error(er.Err))
+}
+
+// settle asks the backend server to stop a request that was given up, and waits
+// on its connection, if that lingers, for the late reply. The reply shows that
+// the request has ended and keeps the connection for others, which spares the
+// cost of a new one.
+func (po *pool) settle(cn *conn, ta Target, requestID string, kind ErrorKind) {
+	late := make(chan bool, 1)
+	if cn != nil {
+		go func() { late <- po.awaitLate(cn, requestID) }()
+	} else {
+		late <- false
+	}
+	stopped := false
+	// A passed deadline needs no Cancel: the server knows the deadline itself.
+	if kind != Deadline {
+		var asked bool
+		stopped, asked = po.askToStop(ta, requestID)
+		if !asked && cn != nil {
+			// No connection is left to say it on. The end of this one says it.
+			cn.evict()
+		}
+	}
+	stopped = <-late || stopped
+	if po.cl.cf.Settled != nil {
+		po.cl.cf.Settled(Settlement{Server: ta.Server, RequestID: requestID, Stopped: stopped})
+	}
+}
+
+// askToStop sends a Cancel, and reports whether the request has stopped and
+// whether the backend server was reached.
+func (po *pool) askToStop(ta Target, requestID string) (stopped, asked bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), po.cl.cf.Linger)
+	defer cancel()
+	cr, err := po.cl.Cancel(ctx, ta, requestID)
+	if err != nil {
+		var er *Error
+		errors.As(err, &er)
+		return false, er.Sent
+	}
+	return cr.Stopped, true
+}
+
+// awaitLate waits for the late reply on a lingering connection and reports
+// whether it came.
+func (po *pool) awaitLate(cn *conn, requestID string) bool {
+	defer po.unlinger(cn)
+	bs, er := cn.resume(po.cl.cf.Linger)
+	if er != nil {
+		return false
+	}
+	var re Reply
+	if cn.decode(bs, &re) != nil || re.RequestID != requestID {
+		cn.reusable = false
+		return false
+	}
+	return true
+}
+
+// cancel sends a Cancel over the connection, which it gives back to the pool.
+func (po *pool) cancel(ctx context.Context, cn *conn, ta Target, requestID string) (CancelReply, *Error) {
+	bs, er := cn.exchange(ctx, CancelPath, Cancel{RequestID: requestID}, po.silentAfter(ta))
+	if er != nil {
+		po.failCancel(cn, er)
+		return CancelReply{}, er
+	}
+	var cr CancelReply
+	er = cn.decode(bs, &cr)
+	if er == nil && cr.RequestID != requestID {
+		er = &Error{Kind: Crossed, Server: ta.Server, Sent: true, Err: fmt.Errorf("RequestID: want %s, got %s", requestID, cr.RequestID)}
+	}
+	if er != nil {
+		po.discard(cn)
+		return CancelReply{}, er
+	}
+	po.release(cn)
+	return cr, nil
+}
+
+func (po *pool) failCancel(cn *conn, er *Error) {
+	if er.Kind == Silent {
+		po.abandon(cn)
+		return
+	}
+	po.discard(cn)
+}
--- /dev/null
+++ b/cmd/balsamctl/keys.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+
+	"balsamwinch.example/keys"
+)
+
+var keysCommand = command{
+	name:    "keys",
+	args:    "DIR NAME=IP[,IP]...",
+	minArgs: 2,
+	maxArgs: -1,
+	summary: "Make keys with which instances know each other.",
+	help: `
+It writes a certificate and a key for each instance to DIR, signed by the
+certificate authority that DIR holds; without one it makes one. Files that exist
+are never overwritten. These keys are for a try-out: whoever holds the authority's
+key can join the tier.
+`,
+	example: "balsamctl keys keys entry-1=10.1.1.11 entry-2=10.1.1.12",
+	do:      makeKeys,
+}
+
+// written is the JSON form of the files of one instance.
+type written struct {
+	Name        string
+	Authority   string
+	Certificate string
+	Key         string
+}
+
+func makeKeys(_ context.Context, in *invocation) error {
+	var ss []keys.Subject
+	for _, ar := range in.args[1:] {
+		su, err := subject(ar)
+		if err != nil {
+			return err
+		}
+		ss = append(ss, su)
+	}
+	dir := in.args[0]
+	if err := keys.Write(dir, ss...); err != nil {
+		return err
+	}
+	var ws []written
+	for _, su := range ss {
+		ws = append(ws, written{
+			Name:        su.Name,
+			Authority:   filepath.Join(dir, keys.AuthorityFile),
+			Certificate: filepath.Join(dir, keys.CertificateFile(su.Name)),
+			Key:         filepath.Join(dir, keys.KeyFile(su.Name)),
+		})
+	}
+	return in.print(ws, func(wr io.Writer) {
+		for _, wt := range ws {
+			fmt.Fprintf(wr, "%s: %s, %s\n", wt.Name, wt.Certificate, wt.Key)
+		}
+		fmt.Fprintf(wr, "authority: %s\n", ws[0].Authority)
+	})
+}
+
+func subject(ar string) (keys.Subject, error) {
+	na, li, ok := strings.Cut(ar, "=")
+	if !ok {
+		return keys.Subject{}, &usageError{fmt.Sprintf("want NAME=IP, got %q", ar)}
+	}
+	su := keys.Subject{Name: na}
+	for _, te := range strings.Split(li, ",") {
+		ip := net.ParseIP(te)
+		if ip == nil {
+			return keys.Subject{}, &usageError{fmt.Sprintf("want an IP number for %s, got %q", na, te)}
+		}
+		su.IPs = append(su.IPs, ip)
+	}
+	return su, nil
+}
--- /dev/null
+++ b/cmd/balsamload/local.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/instance"
+	"balsamwinch.example/load"
+	"balsamwinch.example/timer"
+)
+
+// localInstances are instances in this process with their data in a folder of
+// their own.
+type localInstances struct {
+	lo     *instance.Local
+	folder string
+}
+
+// startInstances starts the instances that the experiment asks for.
+func startInstances(_ context.Context, ex load.Experiment, ts *timer.Service, lg *zap.Logger) (load.Instances, error) {
+	folder, err := os.MkdirTemp("", "balsamload-")
+	if err != nil {
+		return nil, err
+	}
+	lo, err := instance.StartLocal(instance.LocalConfig{
+		Instances:   ex.Tier.Instances,
+		Control:     ex.Tier.Voters,
+		Region:      "local",
+		DataCentres: ex.Tier.DataCentres,
+		Folder:      folder,
+	}, ts, lg)
+	if err != nil {
+		return nil, errors.Join(err, os.RemoveAll(folder))
+	}
+	return &localInstances{lo: lo, folder: folder}, nil
+}
+
+// CallerAddresses returns the addresses for callers.
+func (li *localInstances) CallerAddresses() []string { return li.lo.Addresses("Caller") }
+
+// BackendAddresses returns the addresses for announcements.
+func (li *localInstances) BackendAddresses() []string { return li.lo.Addresses("Backend") }
+
+// OperatorAddresses returns the addresses for operators.
+func (li *localInstances) OperatorAddresses() []string { return li.lo.Addresses("Operator") }
+
+var errNoKill = errors.New("instances in this process can't be killed; run them elsewhere")
+
+// Kill fails.
+func (li *localInstances) Kill(context.Context, int) error { return errNoKill }
+
+// Start fails.
+func (li *localInstances) Start(context.Context, int) error { return errNoKill }
+
+// Close stops the instances and removes their data.
+func (li *localInstances) Close() error {
+	return errors.Join(li.lo.Close(), os.RemoveAll(li.folder))
+}
--- /dev/null
+++ b/cmd/balsamwinch/script_test.go
@@ -0,0 +1,449 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"balsamwinch.example/caller"
+	"balsamwinch.example/keys"
+)
+
+// patience bounds every wait for a condition. It is no timing bound: a scenario
+// that holds is through long before.
+const patience = 60 * time.Second
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	testscript.Main(builder{m}, map[string]func(){"query": queryMain})
+}
+
+// builder builds the real programs before the scripts run. The test binary also
+// runs as the command query, which needs none.
+type builder struct{ m *testing.M }
+
+func (bu builder) Run() int {
+	dir, err := os.MkdirTemp("", "balsamwinch-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	for _, name := range []string{"balsamwinch", "balsamctl", "balsamleaf"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "balsamwinch.example/cmd/"+name).CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", name, err, out)
+			return 1
+		}
+	}
+	return bu.m.Run()
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"tier":      cmdTier,
+			"start":     cmdStart,
+			"leaf":      cmdLeaf,
+			"signal":    cmdSignal,
+			"ended":     cmdEnded,
+			"until":     cmdUntil,
+			"cut":       cmdCut,
+			"heal":      cmdHeal,
+			"post":      cmdPost,
+			"flood":     cmdFlood,
+			"floodends": cmdFloodEnds,
+		},
+	})
+}
+
+// world is what one script has started.
+type world struct {
+	dir     string
+	procs   map[string]*process
+	proxies map[string]*proxy // proxies stand before the peer addresses of control instances.
+	peers   map[string]string // peers are the real peer addresses by instance.
+	flood   *flood
+}
+
+type process struct {
+	cmd   *exec.Cmd
+	lines map[string]string // lines holds the addresses that it printed.
+	done  chan struct{}
+	err   error
+}
+
+type worldKey struct{}
+
+func setup(env *testscript.Env) error {
+	wo := &world{
+		dir:     env.WorkDir,
+		procs:   make(map[string]*process),
+		proxies: make(map[string]*proxy),
+		peers:   make(map[string]string),
+	}
+	env.Values[worldKey{}] = wo
+	env.Vars = append(env.Vars,
+		"PATH="+programs+string(os.PathListSeparator)+os.Getenv("PATH"),
+		"BALSAMCTL_AUTHOR=ana",
+	)
+	env.Defer(func() {
+		for _, pr := range wo.procs {
+			_ = pr.cmd.Process.Kill()
+			<-pr.done
+		}
+		for _, px := range wo.proxies {
+			px.close()
+		}
+	})
+	return nil
+}
+
+func worldOf(ts *testscript.TestScript) *world {
+	return ts.Value(worldKey{}).(*world)
+}
+
+// cmdTier writes settings and keys: tier INSTANCES CONTROL. Instances are named
+// i1, i2 and so on in data centres a, b and c; the first CONTROL of them keep
+// the durable state, with a proxy before the peer address of each.
+func cmdTier(ts *testscript.TestScript, _ bool, args []string) {
+	wo := worldOf(ts)
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	voters, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	var subjects []keys.Subject
+	for ix := 1; ix <= count; ix++ {
+		name := fmt.Sprintf("i%d", ix)
+		subjects = append(subjects, keys.Subject{Name: name, IPs: []net.IP{net.ParseIP("127.0.0.1")}})
+		wo.peers[name] = freeUDP(ts)
+		if ix > voters {
+			continue
+		}
+		px, err := newProxy(wo.peers[name])
+		ts.Check(err)
+		wo.proxies[name] = px
+	}
+	ts.Check(keys.Write(filepath.Join(wo.dir, "keys"), subjects...))
+	for ix := 1; ix <= count; ix++ {
+		name := fmt.Sprintf("i%d", ix)
+		ts.Check(os.WriteFile(filepath.Join(wo.dir, name+".yaml"), []byte(instanceYAML(name, ix, ix <= voters, wo.peers[name], wo.voters(name))), 0o600))
+	}
+}
+
+// voters lists the control instances as one instance reaches them.
+func (wo *world) voters(self string) string {
+	var sb strings.Builder
+	for ix := 1; ix <= len(wo.proxies); ix++ {
+		name := fmt.Sprintf("i%d", ix)
+		address := wo.proxies[name].address()
+		if name == self {
+			address = wo.peers[name]
+		}
+		fmt.Fprintf(&sb, "    - {Name: %s, Address: %q}\n", name, address)
+	}
+	return sb.String()
+}
+
+func instanceYAML(name string, ix int, control bool, peerAddress, voters string) string {
+	roles, folder := "[Entry]", ""
+	if control {
+		roles, folder = "[Entry, Control]", "DataFolder: data-"+name+"\n"
+	}
+	return fmt.Sprintf(`Name: %s
+Region: lima
+DataCentre: %c
+Roles: %s
+Addresses:
+  Caller: 127.0.0.1:0
+  Backend: 127.0.0.1:0
+  Operator: 127.0.0.1:0
+  Peer: %q
+Control:
+  Voters:
+%s%sKeys:
+  Authority: keys/authority.crt
+  Certificate: keys/%s.crt
+  Key: keys/%s.key
+Timing:
+  Lease: 2s
+  Renewal: 250ms
+`, name, 'a'+(ix-1)%3, roles, peerAddress, voters, folder, name, name)
+}
+
+func freeUDP(ts *testscript.TestScript) string {
+	pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+	ts.Check(err)
+	defer pc.Close()
+	return pc.LocalAddr().String()
+}
+
+// cmdStart starts instances and waits for the addresses that they print, which
+// become NAME_Caller, NAME_Operator and so on.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		startProcess(ts, name, "balsamwinch", "run", "-settings", name+".yaml")
+	}
+}
+
+// cmdLeaf starts a backend server: leaf NAME SERVICE SHARD [YAML line ...]. It
+// announces itself to all instances started so far.
+func cmdLeaf(ts *testscript.TestScript, _ bool, args []string) {
+	wo := worldOf(ts)
+	name := args[0]
+	var announce []string
+	for _, pr := range wo.procs {
+		if ad := pr.lines["Backend"]; ad != "" {
+			announce = append(announce, strconv.Quote(ad))
+		}
+	}
+	text := fmt.Sprintf("Server: %s\nService: %s\nDataCentre: a\nAddress: 127.0.0.1:0\nControlAddress: 127.0.0.1:0\nAnnounce: [%s]\nShards: [%s]\nRepeat: 200ms\nTTL: 2s\n%s\n",
+		name, args[1], strings.Join(announce, ", "), args[2], strings.Join(args[3:], "\n"))
+	ts.Check(os.WriteFile(filepath.Join(wo.dir, name+".yaml"), []byte(text), 0o600))
+	startProcess(ts, name, "balsamleaf", "-settings", name+".yaml")
+}
+
+func startProcess(ts *testscript.TestScript, name, program string, args ...string) {
+	wo := worldOf(ts)
+	logs, err := os.OpenFile(filepath.Join(wo.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(programs, program), args...)
+	cmd.Dir = wo.dir
+	cmd.Stderr = logs
+	out, err := cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(cmd.Start())
+	pr := &process{cmd: cmd, lines: make(map[string]string), done: make(chan struct{})}
+	wo.procs[name] = pr
+	if err := json.NewDecoder(out).Decode(&pr.lines); err != nil {
+		text, _ := os.ReadFile(logs.Name())
+		close(pr.done)
+		delete(wo.procs, name)
+		ts.Fatalf("%s printed no addresses: %v\n%s", name, err, text)
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, out)
+		pr.err = cmd.Wait()
+		logs.Close()
+		close(pr.done)
+	}()
+	for key, va := range pr.lines {
+		ts.Setenv(name+"_"+key, va)
+	}
+}
+
+// cmdSignal sends a signal: signal KILL|STOP|CONT|TERM NAME...; after KILL it
+// waits for the end.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args[1:] {
+		pr, ok := worldOf(ts).procs[name]
+		if !ok {
+			ts.Fatalf("%s does not run", name)
+		}
+		ts.Check(pr.cmd.Process.Signal(signals[args[0]]))
+		if args[0] == "KILL" {
+			<-pr.done
+			delete(worldOf(ts).procs, name)
+		}
+	}
+}
+
+// cmdEnded waits until processes have ended with exit code 0, or with ! another.
+func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		pr := worldOf(ts).procs[name]
+		select {
+		case <-pr.done:
+		case <-time.After(patience):
+			ts.Fatalf("%s still runs", name)
+		}
+		if (pr.err != nil) != neg {
+			ts.Fatalf("%s ended with %v", name, pr.err)
+		}
+		delete(worldOf(ts).procs, name)
+	}
+}
+
+// cmdUntil runs a program until its output matches: until REGEXP PROGRAM ARG...
+func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
+	re, err := regexp.Compile("(?s)" + args[0])
+	ts.Check(err)
+	var out []byte
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		cmd := exec.Command(lookUp(args[1]), args[2:]...)
+		cmd.Dir = worldOf(ts).dir
+		out, _ = cmd.CombinedOutput()
+		if re.Match(out) != neg {
+			fmt.Fprintf(ts.Stdout(), "%s", out)
+			return
+		}
+	}
+	ts.Fatalf("no match of %s in\n%s", args[0], out)
+}
+
+func lookUp(name string) string {
+	own := filepath.Join(programs, name)
+	if _, err := os.Stat(own); err == nil {
+		return own
+	}
+	path, err := exec.LookPath(name)
+	if err != nil {
+		return name
+	}
+	return path
+}
+
+// cmdCut cuts instances off from control: cut NAME FROM... drops all packets
+// between NAME and the peer addresses of the control instances FROM.
+func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
+	wo := worldOf(ts)
+	for _, from := range args[1:] {
+		wo.proxies[from].setCut(wo.peers[args[0]], true)
+		if px, ok := wo.proxies[args[0]]; ok {
+			px.setCut(wo.peers[from], true)
+		}
+	}
+}
+
+// cmdHeal ends all cuts.
+func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, px := range worldOf(ts).proxies {
+		px.heal()
+	}
+}
+
+// cmdPost sends a body: post ADDRESS PATH BODY.
+func cmdPost(ts *testscript.TestScript, _ bool, args []string) {
+	rs, err := http.Post("http://"+args[0]+args[1], "application/json", strings.NewReader(args[2]))
+	ts.Check(err)
+	defer rs.Body.Close()
+	body, _ := io.ReadAll(rs.Body)
+	fmt.Fprintf(ts.Stdout(), "%s", body)
+	if rs.StatusCode >= 300 {
+		ts.Fatalf("post %s: %s", args[1], rs.Status)
+	}
+}
+
+// queryMain is the command query: query ADDRESSES SERVICE [BODY]. It asks the
+// first of the comma separated addresses that answers for the address list, and
+// sends the query to the first instance of that.
+func queryMain() {
+	out, err := query(strings.Split(os.Args[1], ","), os.Args[2], os.Args[3:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Println(out)
+}
+
+func query(addresses []string, service string, rest []string) (string, error) {
+	body := `{"Query":{}}`
+	if len(rest) > 0 {
+		body = rest[0]
+	}
+	var err error
+	for _, ad := range addresses {
+		var out string
+		if out, err = queryVia(ad, service, body); err == nil {
+			return out, nil
+		}
+	}
+	return "", err
+}
+
+func queryVia(address, service, body string) (string, error) {
+	hc := &http.Client{Timeout: patience}
+	rs, err := hc.Get("http://" + address + "/addresses?Service=" + service)
+	if err != nil {
+		return "", err
+	}
+	defer rs.Body.Close()
+	var ad caller.Addresses
+	if err := json.NewDecoder(rs.Body).Decode(&ad); err != nil {
+		return "", err
+	}
+	if len(ad.Addresses) == 0 {
+		return "", fmt.Errorf("%s: empty address list", address)
+	}
+	rq, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+ad.Addresses[0]+"/services/"+service+"/query", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	an, err := hc.Do(rq)
+	if err != nil {
+		return "", err
+	}
+	defer an.Body.Close()
+	raw, err := io.ReadAll(an.Body)
+	if err != nil {
+		return "", err
+	}
+	var buf bytes.Buffer
+	if err := json.Indent(&buf, raw, "", " "); err != nil {
+		return string(raw), nil
+	}
+	return buf.String(), nil
+}
+
+// listCaller keeps the address list until its time to live has run out.
+type listCaller struct {
+	seeds   []string
+	service string
+	list    caller.Addresses
+	until   time.Time
+}
+
+// query sends one query and returns the answer's code.
+func (lc *listCaller) query() (int, error) {
+	if !time.Now().Before(lc.until) {
+		if err := lc.refresh(); err != nil {
+			return 0, err
+		}
+	}
+	rs, err := http.Post("http://"+lc.list.Addresses[0]+"/services/"+lc.service+"/query", "application/json", strings.NewReader(`{"Query":{}}`))
+	if err != nil {
+		return 0, err
+	}
+	defer rs.Body.Close()
+	var an struct{ Code int }
+	err = json.NewDecoder(rs.Body).Decode(&an)
+	return an.Code, err
+}
+
+// refresh asks the instances it knows for a new list.
+func (lc *listCaller) refresh() error {
+	var err error
+	for _, ad := range append(lc.list.Addresses, lc.seeds...) {
+		var rs *http.Response
+		if rs, err = http.Get("http://" + ad + "/addresses?Service=" + lc.service); err != nil {
+			continue
+		}
+		asked := time.Now()
+		err = json.NewDecoder(rs.Body).Decode(&lc.list)
+		rs.Body.Close()
+		if err == nil {
+			lc.until = asked.Add(time.Duration(lc.list.TTLMillis) * time.Millisecond)
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/control/change.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"fmt"
+	"path"
+	"slices"
+	"strings"
+
+	"balsamwinch.example/operator"
+	"balsamwinch.example/result"
+	"balsamwinch.example/settings"
+)
+
+// The bounds of changes. All voters must have the same ones.
+const (
+	MaxFaults      = 100     // MaxFaults is how many faults an outcome names.
+	MaxChangeBytes = 1 << 20 // MaxChangeBytes bounds the contents of one change.
+	MaxFolderBytes = 4 << 20 // MaxFolderBytes bounds the contents of all accepted files.
+	MaxNameBytes   = 200     // MaxNameBytes bounds names of files and authors and change ids.
+	MaxDeleted     = 1000    // MaxDeleted is of how many deleted files it is kept who deleted them.
+)
+
+// change decides a change and records it in the audit trail.
+func (st State) change(ch Change) (State, Outcome) {
+	ch = ch.normal()
+	dg := digest(ch)
+	if re, ok := st.trail.find(ch.ChangeID); ok {
+		// An operator who lost the answer sends the change again. Judged anew,
+		// it would conflict with its own first arrival.
+		if re.Digest == dg {
+			return st, re.Outcome
+		}
+		oc := ChangeOutcome{Code: result.Conflict, Conflict: &ConflictWith{
+			Author:   re.Entry.Author,
+			ChangeID: re.Entry.ChangeID,
+			Revision: re.Entry.Revision,
+		}}
+		return st.refuse(ch, "", oc)
+	}
+	if fs := st.shapeFaults(ch); len(fs) > 0 {
+		return st.refuse(ch, dg, invalid(fs))
+	}
+	if cw := st.conflict(ch); cw != nil {
+		return st.refuse(ch, dg, ChangeOutcome{Code: result.Conflict, Conflict: cw})
+	}
+	next := st.withFiles(ch)
+	if next.fileBytes > MaxFolderBytes {
+		fa := settings.Fault{Field: "Files", Want: fmt.Sprintf("at most %d bytes in all", MaxFolderBytes), Got: fmt.Sprint(next.fileBytes)}
+		return st.refuse(ch, dg, invalid(settings.Faults{fa}))
+	}
+	cfg, fs := operator.Merge(next.operatorFiles())
+	if len(fs) > 0 {
+		return st.refuse(ch, dg, invalid(fs))
+	}
+	cfg.Revision = st.cfg.Revision + 1
+	next.cfg = cfg
+	oc := ChangeOutcome{Code: result.Accepted, Revision: cfg.Revision}
+	next.trail = st.trail.with(st.entry(ch, oc), dg, oc)
+	return next, oc
+}
+
+// normal returns the change with a content for each file that isn't deleted and
+// none for those that are. In the audit trail no content means no file.
+func (ch Change) normal() Change {
+	ch.Files = slices.Clone(ch.Files)
+	for i, fc := range ch.Files {
+		switch {
+		case fc.Delete:
+			ch.Files[i].Content = nil
+		case fc.Content == nil:
+			ch.Files[i].Content = []byte{}
+		}
+	}
+	return ch
+}
+
+// refuse records a refusal and changes nothing else.
+func (st State) refuse(ch Change, dg string, oc ChangeOutcome) (State, Outcome) {
+	st.trail = st.trail.with(st.entry(ch, oc), dg, oc)
+	return st, oc
+}
+
+func invalid(fs settings.Faults) ChangeOutcome {
+	return ChangeOutcome{Code: result.Invalid, Faults: fs[:min(len(fs), MaxFaults)]}
+}
+
+// digest tells whether two changes with one id are the same change. The time is
+// left out: it is the leader's and differs between resends.
+func digest(ch Change) string {
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "%q\n", ch.Author)
+	for _, fc := range ch.Files {
+		fmt.Fprintf(&sb, "%q %d %t %s\n", fc.Name, fc.Base, fc.Delete, hashOf(fc.Content))
+	}
+	return hashOf([]byte(sb.String()))
+}
+
+// shapeFaults lists what is wrong with a change before any file is read.
+func (st State) shapeFaults(ch Change) settings.Faults {
+	var fs settings.Faults
+	fault := func(file, field, want, got string) {
+		fs = append(fs, settings.Fault{File: file, Field: field, Want: want, Got: got})
+	}
+	if le := len(ch.ChangeID); le == 0 || le > MaxNameBytes {
+		fault("", "ChangeID", fmt.Sprintf("1 to %d bytes", MaxNameBytes), fmt.Sprint(le))
+	}
+	if le := len(ch.Author); le == 0 || le > MaxNameBytes {
+		fault("", "Author", fmt.Sprintf("1 to %d bytes", MaxNameBytes), fmt.Sprint(le))
+	}
+	if len(ch.Files) == 0 {
+		fault("", "Files", "at least one file", "none")
+	}
+	if by := ch.bytes(); by > MaxChangeBytes {
+		fault("", "Files", fmt.Sprintf("at most %d bytes", MaxChangeBytes), fmt.Sprint(by))
+	}
+	seen := make(map[string]bool)
+	for _, fc := range ch.Files {
+		if !plainName(fc.Name) {
+			fault(fc.Name, "Name", "a plain file name", fmt.Sprintf("%q", fc.Name))
+		}
+		if seen[fc.Name] {
+			fault(fc.Name, "Name", "each file once", "twice")
+		}
+		seen[fc.Name] = true
+		if _, ok := st.files.get(fc.Name); fc.Delete && fc.Base == 0 && !ok {
+			fault(fc.Name, "Delete", "a file that exists", "none of this name")
+		}
+	}
+	return fs
+}
+
+// plainName reports whether a name stays inside the folder it is written to.
+func plainName(na string) bool {
+	return na != "" && len(na) <= MaxNameBytes && na == path.Base(na) && na != "." && na != ".." && !strings.ContainsAny(na, "\\\x00")
+}
+
+func (ch Change) bytes() int {
+	by := 0
+	for _, fc := range ch.Files {
+		by += len(fc.Content)
+	}
+	return by
+}
+
+// conflict names the change that came between what the operator knew and now;
+// nil if none did. Without it the slower of two racing operators would undo the
+// other's change without either being told.
+func (st State) conflict(ch Change) *ConflictWith {
+	for _, fc := range ch.Files {
+		fi, ok := st.files.get(fc.Name)
+		switch {
+		case ok && fi.Revision != fc.Base:
+			return &ConflictWith{File: fc.Name, Author: fi.Author, ChangeID: fi.ChangeID, Revision: fi.Revision}
+		case !ok && fc.Base != 0:
+			if cw, known := st.deleted.get(fc.Name); known {
+				return &cw
+			}
+			return &ConflictWith{File: fc.Name}
+		}
+	}
+	return nil
+}
+
+// withFiles returns the state with the files changed and not yet merged.
+func (st State) withFiles(ch Change) State {
+	rev := st.cfg.Revision + 1
+	for _, fc := range ch.Files {
+		if old, ok := st.files.get(fc.Name); ok {
+			st.fileBytes -= len(old.Content)
+		}
+		if fc.Delete {
+			st.files = st.files.without(fc.Name)
+			st = st.withDeleted(ConflictWith{File: fc.Name, Author: ch.Author, ChangeID: ch.ChangeID, Revision: rev})
+			continue
+		}
+		st.fileBytes += len(fc.Content)
+		st.deleted = st.deleted.without(fc.Name)
+		st.files = st.files.with(fc.Name, File{
+			Name:     fc.Name,
+			Revision: rev,
+			Author:   ch.Author,
+			ChangeID: ch.ChangeID,
+			Content:  fc.Content,
+		})
+	}
+	return st
+}
+
+// withDeleted remembers who deleted a file, and forgets the oldest beyond the bound.
+func (st State) withDeleted(cw ConflictWith) State {
+	st.deleted = st.deleted.with(cw.File, cw)
+	if st.deleted.len() <= MaxDeleted {
+		return st
+	}
+	oldest := cw
+	for _, ot := range st.deleted.all() {
+		if ot.Revision < oldest.Revision {
+			oldest = ot
+		}
+	}
+	st.deleted = st.deleted.without(oldest.File)
+	return st
+}
+
+func (st State) operatorFiles() []operator.File {
+	fs := make([]operator.File, 0, st.files.len())
+	for _, fi := range st.files.all() {
+		fs = append(fs, operator.File{Name: fi.Name, Content: fi.Content})
+	}
+	return fs
+}
+
+// entry returns the audit entry of a change that this state is about to judge.
+func (st State) entry(ch Change, oc ChangeOutcome) AuditEntry {
+	en := AuditEntry{
+		When:     ch.When.UTC().Round(0),
+		Author:   ch.Author,
+		ChangeID: ch.ChangeID,
+		Code:     oc.Code,
+		Revision: oc.Revision,
+		Detail:   oc.detail(),
+	}
+	keep := ch.bytes() <= MaxChangeBytes
+	for _, fc := range ch.Files {
+		en.Files = append(en.Files, st.auditFile(fc, keep))
+	}
+	return en
+}
+
+func (st State) auditFile(fc FileChange, keep bool) AuditFile {
+	af := AuditFile{Name: fc.Name}
+	if fi, ok := st.files.get(fc.Name); ok {
+		af.BeforeHash = hashOf(fi.Content)
+		af.Before = fi.Content
+	}
+	if !fc.Delete {
+		af.AfterHash = hashOf(fc.Content)
+		af.After = fc.Content
+	}
+	if !keep {
+		af.Before, af.After = nil, nil
+	}
+	return af
+}
+
+// maxDetailBytes bounds the text that says why a change was refused.
+const maxDetailBytes = 2000
+
+// detail says in one line why a change was refused.
+func (oc ChangeOutcome) detail() string {
+	var de string
+	switch {
+	case oc.Conflict != nil && oc.Conflict.File == "":
+		de = fmt.Sprintf("the change id was used before by %s for another change", oc.Conflict.Author)
+	case oc.Conflict != nil && oc.Conflict.Author == "":
+		de = oc.Conflict.File + " does not exist"
+	case oc.Conflict != nil:
+		de = fmt.Sprintf("%s was changed at revision %d by %s with the change %s",
+			oc.Conflict.File, oc.Conflict.Revision, oc.Conflict.Author, oc.Conflict.ChangeID)
+	case len(oc.Faults) > 0:
+		de = strings.ReplaceAll(settings.Faults(oc.Faults).Error(), "\n", "; ")
+	}
+	return de[:min(len(de), maxDetailBytes)]
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"balsamwinch.example/operator"
+)
+
+// stateFile is a State in a snapshot. Contents that stand in several places are
+// written once and named by their hash.
+type stateFile struct {
+	Index         uint64
+	Clock         int64
+	Configuration operator.Configuration
+	Files         []fileEntry
+	Deleted       []ConflictWith
+	Base          AuditHead
+	Records       []recordEntry
+	Intents       []intent
+	Horizon       int64
+	Contents      [][]byte
+}
+
+type fileEntry struct {
+	Name, Author, ChangeID, Hash string
+	Revision                     uint64
+}
+
+type recordEntry struct {
+	Record record
+	Kept   bool // Kept says that the contents of the audit entry are among Contents.
+}
+
+const numberState = 201
+
+// contents collects contents by their hash.
+type contents map[string][]byte
+
+func (co contents) add(data []byte) string {
+	ha := hashOf(data)
+	co[ha] = data
+	return ha
+}
+
+// Encode returns the state for a snapshot. Equal states give equal bytes. The
+// merged configuration is among them: a newer version of the program whose
+// checks are stricter must not refuse at its start what was accepted before.
+func (st State) Encode() ([]byte, error) {
+	sf := stateFile{
+		Index:         st.index,
+		Clock:         st.clock,
+		Configuration: st.cfg,
+		Base:          st.trail.base,
+		Horizon:       st.intents.horizon,
+	}
+	co := make(contents)
+	for _, fi := range st.files.all() {
+		sf.Files = append(sf.Files, fileEntry{Name: fi.Name, Author: fi.Author, ChangeID: fi.ChangeID, Hash: co.add(fi.Content), Revision: fi.Revision})
+	}
+	for _, cw := range st.deleted.all() {
+		sf.Deleted = append(sf.Deleted, cw)
+	}
+	for nu, re := range st.trail.records.all() {
+		_, kept := st.trail.contents.get(nu)
+		for _, af := range re.Entry.Files {
+			co.addKept(af.BeforeHash, af.Before)
+			co.addKept(af.AfterHash, af.After)
+		}
+		re.Entry = re.Entry.withoutContent()
+		sf.Records = append(sf.Records, recordEntry{Record: re, Kept: kept})
+	}
+	for _, key := range st.intents.order.all() {
+		in, _ := st.intents.byKey.get(key)
+		sf.Intents = append(sf.Intents, in)
+	}
+	for _, ha := range slices.Sorted(maps.Keys(co)) {
+		sf.Contents = append(sf.Contents, co[ha])
+	}
+	return seal(numberState, sf)
+}
+
+func (co contents) addKept(ha string, data []byte) {
+	if data != nil {
+		co[ha] = data
+	}
+}
+
+// DecodeState returns the state that Encode gave. Its error is a *result.Error
+// with the code DamagedState.
+func DecodeState(data []byte) (State, error) {
+	en, err := unseal(data)
+	if err != nil {
+		return State{}, err
+	}
+	if en.Number != numberState {
+		return State{}, codecError("decode a state", fmt.Errorf("unknown number %d", en.Number))
+	}
+	sf, err := open[stateFile](en)
+	if err != nil {
+		return State{}, err
+	}
+	st, err := sf.state()
+	if err != nil {
+		return State{}, codecError("decode a state", err)
+	}
+	return st, nil
+}
+
+func (sf stateFile) state() (State, error) {
+	st := State{index: sf.Index, clock: sf.Clock, cfg: sf.Configuration}
+	co := make(contents)
+	for _, data := range sf.Contents {
+		co.add(data)
+	}
+	for _, fe := range sf.Files {
+		data, ok := co[fe.Hash]
+		if !ok {
+			return st, fmt.Errorf("the content of file %s is missing", fe.Name)
+		}
+		st.files = st.files.with(fe.Name, File{Name: fe.Name, Revision: fe.Revision, Author: fe.Author, ChangeID: fe.ChangeID, Content: data})
+		st.fileBytes += len(data)
+	}
+	for _, cw := range sf.Deleted {
+		st.deleted = st.deleted.with(cw.File, cw)
+	}
+	for _, in := range sf.Intents {
+		st.intents = st.intents.with(in)
+	}
+	st.intents.horizon = sf.Horizon
+	tr, err := sf.trail(co)
+	st.trail = tr
+	return st, err
+}
+
+func (sf stateFile) trail(co contents) (trail, error) {
+	tr := trail{base: sf.Base, head: sf.Base}
+	for _, re := range sf.Records {
+		if en := re.Record.Entry; en.Number != tr.head.Number+1 || en.Previous != tr.head.Hash {
+			return tr, fmt.Errorf("audit entry %d does not follow entry %d", en.Number, tr.head.Number)
+		}
+		if re.Kept {
+			re.Record.Entry.Files = co.restore(re.Record.Entry.Files)
+		}
+		if err := re.Record.Entry.verify(); err != nil {
+			return tr, err
+		}
+		tr = tr.withRecord(re.Record)
+	}
+	return tr, nil
+}
+
+func (co contents) restore(fs []AuditFile) []AuditFile {
+	for i, af := range fs {
+		fs[i].Before = co[af.BeforeHash]
+		fs[i].After = co[af.AfterHash]
+	}
+	return fs
+}
--- /dev/null
+++ b/fanout/late.go
@@ -0,0 +1,147 @@
+package fanout
+
+import (
+	"time"
+
+	"balsamwinch.example/operator"
+)
+
+// due looks at each shard whose time has come.
+func (tu *turn) due() {
+	if tu.over() {
+		return
+	}
+	tu.st.armed = never
+	tu.st.wake = never
+	for ix := range tu.st.plan.Shards {
+		sh := tu.st.shards.get(ix)
+		switch {
+		case sh.status != shardOpen:
+		case sh.wake > tu.now:
+			tu.st.wake = min(tu.st.wake, sh.wake)
+		case sh.runs() == 0:
+			tu.again(ix, *sh)
+		default:
+			tu.hedge(ix, *sh)
+		}
+	}
+}
+
+// again asks for a shard that waited.
+func (tu *turn) again(ix int, sh shard) {
+	if sh.fails == 0 {
+		tu.ask(ix, sh, First, sh.gate, false)
+		return
+	}
+	// The server that has dropped the snapshot does not get it back.
+	tu.ask(ix, sh, Retry, sh.gate, sh.reason == VersionGone)
+}
+
+// wait looks at a shard again a little later, or after the pause if that is
+// longer.
+func (tu *turn) wait(ix int, sh shard, pause time.Duration) {
+	sh.wake = tu.now + max(min(minWait<<sh.waits, maxWait), min(pause, maxPause))
+	sh.waits = min(sh.waits+1, maxWaits)
+	tu.put(ix, sh)
+}
+
+// hedge asks another replica for a shard whose attempt is late. A request that
+// must not be repeated is never hedged.
+func (tu *turn) hedge(ix int, sh shard) {
+	if !tu.st.ru.Repeatable || tu.st.ru.Tactics == operator.Baseline || sh.runs() > 1 || sh.sent > maxFails {
+		sh.wake = never
+		tu.put(ix, sh)
+		return
+	}
+	gate := Gated
+	// A connection that has gone silent shows nothing but a reply that does not
+	// come. If many do so at once, the budget is soon spent and the hedges that
+	// would save the requests are refused, although they have time. So each
+	// shard has one hedge beyond the budget, late enough not to double the load
+	// of servers that are merely slow.
+	if tu.now >= tu.owedAt(&sh) && !sh.forced {
+		gate = Owed
+		sh.forced = true
+	}
+	tu.ask(ix, sh, Hedge, gate, !sh.alone)
+}
+
+// owedAt returns when a shard's attempt is hedged beyond the budget.
+func (tu *turn) owedAt(sh *shard) time.Duration {
+	left := tu.st.finish() - sh.asked
+	return sh.asked + max(chanceDelays*tu.st.ru.HedgeDelay, left/owedShare)
+}
+
+// hedgeLater puts a hedge off that could not be sent.
+func (tu *turn) hedgeLater(ix int, sh shard, ru running, at time.Duration) {
+	if ru.gate == Owed {
+		sh.forced = false
+	}
+	sh.wake = max(at, tu.now+minWait)
+	if ow := tu.owedAt(&sh); !sh.forced && ow > tu.now {
+		sh.wake = min(sh.wake, ow)
+	}
+	tu.put(ix, sh)
+}
+
+func (tu *turn) notSent(ev NotSent) {
+	sh, ru, ok := tu.ended(ev.Attempt, false)
+	if !ok {
+		return
+	}
+	ix := ev.Attempt.Shard
+	sh.gate = ru.gate
+	switch {
+	case sh.runs() > 0 && ev.Able:
+		tu.hedgeLater(ix, sh, ru, tu.now+max(maxWait, ev.Pause))
+	case sh.runs() > 0:
+		sh.alone = true
+		tu.hedgeLater(ix, sh, ru, max(tu.now+maxWait, sh.asked+sameServerDelays*tu.st.ru.HedgeDelay))
+	case ev.Able && sh.reason != VersionGone:
+		sh.because(Busy)
+		tu.wait(ix, sh, ev.Pause)
+	default:
+		sh.because(NoServer)
+		tu.replan(ix, sh)
+	}
+}
+
+// room asks for a shard that waits for a server with room.
+func (tu *turn) room(ix int) {
+	if ix < 0 || ix >= len(tu.st.plan.Shards) {
+		return
+	}
+	sh := *tu.st.shards.get(ix)
+	if sh.status == shardOpen && sh.runs() == 0 && sh.blind == 0 {
+		tu.again(ix, sh)
+	}
+}
+
+func (tu *turn) noBudget(ev NoBudget) {
+	sh, ru, ok := tu.ended(ev.Attempt, false)
+	if !ok {
+		return
+	}
+	if sh.runs() > 0 {
+		tu.hedgeLater(ev.Attempt.Shard, sh, ru, tu.now+tu.st.ru.HedgeDelay)
+		return
+	}
+	sh.gate = ru.gate
+	tu.wait(ev.Attempt.Shard, sh, 0)
+}
+
+// replan asks for a newer snapshot for a shard that no server can be asked for.
+// The plan had a holder, so that one is leaving or has dropped the snapshot, and
+// what it announced in its place may not have come here yet. So the shard waits
+// a few times before it is given up.
+func (tu *turn) replan(ix int, sh shard) {
+	if sh.blind >= maxBlind {
+		tu.lose(ix, sh, sh.reason)
+		return
+	}
+	sh.blind++
+	tu.wait(ix, sh, 0)
+	if tu.mayRestart() {
+		tu.do(Replan{Newer: tu.st.plan.Snapshot})
+	}
+}
--- /dev/null
+++ b/fanout/run.go
@@ -0,0 +1,277 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"balsamwinch.example/backend"
+	"balsamwinch.example/limit"
+	"balsamwinch.example/operator"
+	"balsamwinch.example/snapshot"
+	"balsamwinch.example/timer"
+)
+
+// run carries out one query: it feeds events to Step and performs its actions.
+// Everything but post is for the goroutine of Engine.Run alone.
+type run struct {
+	en       *Engine
+	ctx      context.Context // ctx is the caller's.
+	qu       *Query
+	se       operator.Service
+	sv       *service
+	ru       Rules
+	ro       *route
+	plan     snapshot.Coverage
+	stale    bool
+	revision uint64
+	leafBy   time.Time // leafBy is when backend servers give up.
+	recordBy time.Time // recordBy is when the answer is given even if its record is not known to be kept.
+
+	live atomic.Int64 // live counts the goroutines of the run.
+
+	st       State
+	base     context.Context // base is that of all attempts.
+	cancel   context.CancelFunc
+	events   chan Event
+	done     chan struct{} // done is closed when nobody takes events any more.
+	wake     chan struct{}
+	tm       *timer.Timeout
+	todo     []Event
+	attempts []attempt // attempts are in the order of their numbers, from 1.
+	waits    map[int]context.CancelFunc
+	answer   *Answer
+}
+
+// leave ends one goroutine of the run, and the run with the last of them.
+func (rn *run) leave() {
+	if rn.live.Add(-1) == 0 {
+		rn.en.active.Add(-1)
+	}
+}
+
+// attempt is what the run remembers of one attempt; the zero attempt never left.
+type attempt struct {
+	shard  int
+	server string
+	cancel context.CancelFunc
+}
+
+// spareEvents is the room for events beyond one for each shard.
+const spareEvents = 4
+
+// execute runs the planned query to its answer.
+func (rn *run) execute() Answer {
+	en := rn.en
+	count := len(rn.plan.Shards)
+	rn.base, rn.cancel = context.WithDeadline(context.WithoutCancel(rn.ctx), rn.ru.Finish)
+	rn.events = make(chan Event, count+spareEvents)
+	rn.done = make(chan struct{})
+	rn.wake = make(chan struct{}, 1)
+	rn.attempts = make([]attempt, 0, count+spareEvents)
+	rn.st = NewState(rn.ru)
+	rn.sv.bu.Load().Earn(count)
+	rn.step(Started{Now: en.ts.Now(), Plan: rn.plan})
+	gone := rn.ctx.Done()
+	for rn.answer == nil {
+		if len(rn.todo) > 0 {
+			ev := rn.todo[0]
+			rn.todo = rn.todo[1:]
+			rn.step(ev)
+			continue
+		}
+		select {
+		case ev := <-rn.events:
+			rn.step(ev)
+		case <-rn.wake:
+			rn.drain()
+			rn.todo = append(rn.todo, Due{Now: en.ts.Now()})
+		case <-gone:
+			gone = nil
+			rn.step(CallerGone{Now: en.ts.Now()})
+		}
+	}
+	rn.end()
+	return *rn.answer
+}
+
+// end stops what still runs. A passed deadline ends the attempts by itself, and
+// their backend servers know it; a cancellation would be told to each of them.
+func (rn *run) end() {
+	close(rn.done)
+	if rn.tm != nil {
+		rn.tm.Stop()
+	}
+	if rn.en.ts.Now().Before(rn.ru.Finish) {
+		rn.cancel()
+	}
+}
+
+// post hands an event to the run; after its end nobody wants it.
+func (rn *run) post(ev Event) {
+	select {
+	case rn.events <- ev:
+	case <-rn.done:
+	}
+}
+
+// drain takes the events that are there before the time for decisions comes: a
+// reply that made it by the deadline counts.
+func (rn *run) drain() {
+	for rn.answer == nil {
+		select {
+		case ev := <-rn.events:
+			rn.step(ev)
+		default:
+			return
+		}
+	}
+}
+
+// step feeds one event to Step and performs what comes of it.
+func (rn *run) step(ev Event) {
+	if ro, ok := ev.(Room); ok {
+		rn.stopWaiting(ro.Shard)
+	}
+	var acts []Action
+	rn.st, acts = Step(rn.st, ev)
+	for _, ac := range acts {
+		switch ac := ac.(type) {
+		case Ask:
+			rn.ask(ac)
+		case CancelAttempt:
+			if cancel := rn.attempts[ac.Attempt.Number-1].cancel; cancel != nil {
+				cancel()
+			}
+		case Replan:
+			rn.replan(ac.Newer)
+		case Arm:
+			rn.arm(ac.At)
+		case Finish:
+			rn.answer = &ac.Answer
+		}
+	}
+}
+
+func (rn *run) arm(at time.Time) {
+	delay := max(0, at.Sub(rn.en.ts.Now()))
+	if rn.tm != nil {
+		rn.tm.Reset(delay)
+		return
+	}
+	rn.tm = rn.en.ts.Timeout(delay, func() {
+		select {
+		case rn.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// replan looks for a newer snapshot in the newest view.
+func (rn *run) replan(newer snapshot.ID) {
+	rn.refresh()
+	if plan, ok := rn.ro.planNewer(newer, rn.qu.Shards); ok {
+		rn.todo = append(rn.todo, Started{Now: rn.en.ts.Now(), Plan: plan})
+	}
+}
+
+// refresh takes the newest view's backend servers, unless the service has left
+// the configuration.
+func (rn *run) refresh() {
+	vi := rn.en.ce.Load()
+	if se, ok := vi.Configuration.Services[rn.qu.Service]; ok {
+		rn.ro = rn.en.routesOf(vi).of(rn.qu.Service, se)
+	}
+}
+
+// ask sends an attempt, or says at once why it can't.
+func (rn *run) ask(ac Ask) {
+	en := rn.en
+	now := en.ts.Now()
+	rn.attempts = append(rn.attempts, attempt{shard: ac.Attempt.Shard})
+	var exclude []string
+	if ac.Kind != First {
+		rn.refresh()
+	}
+	if ac.Elsewhere {
+		exclude = rn.tried(ac.Attempt.Shard)
+	}
+	candidates := rn.ro.holding(ac.Snapshot, ac.Shard)
+	ch, ok := en.ta.Pick(now, rn.se.Tactics, candidates, exclude)
+	if !ok {
+		rn.notSent(now, ac, candidates, exclude)
+		return
+	}
+	if ac.Gate != Free && !rn.sv.bu.Load().Spend() && ac.Gate == Gated {
+		en.ta.Done(now, ch, limit.Outcome{Kind: limit.NotSent})
+		rn.todo = append(rn.todo, NoBudget{Now: now, Attempt: ac.Attempt})
+		return
+	}
+	rn.stopWaiting(ac.Attempt.Shard)
+	ctx, cancel := context.WithCancel(rn.base)
+	at := &rn.attempts[ac.Attempt.Number-1]
+	at.server = ch.Server
+	at.cancel = cancel
+	rn.live.Add(1)
+	go rn.send(ctx, cancel, now, &ac, ch)
+}
+
+// tried returns the servers that the shard was sent to.
+func (rn *run) tried(ix int) []string {
+	var names []string
+	for _, at := range rn.attempts {
+		if at.shard == ix && at.server != "" && !slices.Contains(names, at.server) {
+			names = append(names, at.server)
+		}
+	}
+	return names
+}
+
+// notSent says that no server can be sent an attempt, and waits for room if the
+// shard has nothing else to wait for.
+func (rn *run) notSent(now time.Time, ac Ask, candidates []backend.Record, exclude []string) {
+	ev := NotSent{Now: now, Attempt: ac.Attempt}
+	if ac.Kind == Hedge {
+		ev.Pause, ev.Able = rn.en.ta.Pause(now, candidates, exclude)
+	} else if len(candidates) > 0 {
+		ev.Pause, ev.Able = rn.en.ta.Pause(now, candidates, nil)
+		rn.awaitRoom(now, ac.Attempt.Shard, candidates)
+	}
+	rn.todo = append(rn.todo, ev)
+}
+
+// awaitRoom posts Room when a candidate may have room. A query that only looked
+// again from time to time would be overtaken by later ones.
+func (rn *run) awaitRoom(now time.Time, ix int, candidates []backend.Record) {
+	if rn.waits[ix] != nil {
+		return
+	}
+	wa := rn.en.ta.Await(now, candidates, nil)
+	if wa == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(rn.base)
+	if rn.waits == nil {
+		rn.waits = make(map[int]context.CancelFunc)
+	}
+	rn.waits[ix] = cancel
+	rn.live.Add(1)
+	go func() {
+		defer rn.leave()
+		defer wa.Close()
+		select {
+		case <-wa.Room():
+			rn.post(Room{Now: rn.en.ts.Now(), Shard: ix})
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// stopWaiting ends the wait of a shard for room.
+func (rn *run) stopWaiting(ix int) {
+	if cancel := rn.waits[ix]; cancel != nil {
+		cancel()
+		delete(rn.waits, ix)
+	}
+}
--- /dev/null
+++ b/instance/leader.go
@@ -0,0 +1,226 @@
+package instance
+
+import (
+	"time"
+
+	"balsamwinch.example/control"
+	"balsamwinch.example/operator"
+	"balsamwinch.example/peer"
+	"balsamwinch.example/quorum"
+	"balsamwinch.example/result"
+)
+
+// renewal grants or refuses a lease. Only a leader that no other can have
+// replaced yet grants, so that two leaders never hand out leases at a time.
+func (vo *voter) renewal(rn control.Renewal) control.Grant {
+	now := vo.th.ts.Now()
+	gr := control.Grant{Term: vo.st.Term(), Leader: nameOf(vo.leader)}
+	if !vo.leads(now) {
+		gr.Reason = "not the leader"
+		return gr
+	}
+	bo, ok, reason := vo.bo.WithRenewal(now, rn, maxEntries(vo.sm.Configuration()))
+	vo.bo = bo
+	gr.Granted = ok
+	gr.Reason = reason
+	gr.LeaseMillis = bo.LeaseMillis()
+	gr.Revision = vo.sm.Revision()
+	gr.Instances = bo.Instances(now)
+	gr.Entries = bo.Entries(rn.Instance)
+	if gr.Revision > rn.InForce {
+		gr.Files = vo.sm.Files()
+	}
+	vo.settle(now)
+	return gr
+}
+
+// proposal appends a command to the log, with the leader's clock in it. The
+// reply comes once the command is applied, and for a change once it is in force.
+func (vo *voter) proposal(ms control.Proposal, reply chan<- peer.Message) {
+	now := vo.th.ts.Now()
+	if !vo.leads(now) {
+		reply <- control.ProposalReply{Code: result.NotLeader, Leader: vo.hint()}
+		return
+	}
+	cm, err := control.Decode(ms.Command)
+	if err != nil {
+		reply <- control.ProposalReply{Code: result.Invalid}
+		return
+	}
+	data, err := control.Encode(stamp(cm, now))
+	if err != nil {
+		reply <- control.ProposalReply{Code: result.Invalid}
+		return
+	}
+	vo.tag++
+	vo.proposed[vo.tag] = pending{reply: reply}
+	vo.step(quorum.Propose{Now: now, Tag: vo.tag, Data: data})
+}
+
+// hint names the leader to turn to, unless that is this voter, which does not
+// act as one yet.
+func (vo *voter) hint() string {
+	if vo.leader == vo.id {
+		return ""
+	}
+	return nameOf(vo.leader)
+}
+
+func stamp(cm control.Command, now time.Time) control.Command {
+	switch cm := cm.(type) {
+	case control.Change:
+		cm.When = now
+		return cm
+	case control.BeginIntent:
+		cm.When = now
+		return cm
+	case control.FinishIntent:
+		cm.When = now
+		return cm
+	default:
+		return cm
+	}
+}
+
+// formation answers a control instance that starts. If it comes with another
+// disk than the one that votes under its name, the leader lets it take the old
+// one's place, unless that one was heard from lately: then two processes claim
+// one name, and the operators must choose.
+func (vo *voter) formation(from string, rq formationRequest) formationReply {
+	rp := formationReply{ID: vo.id, Formed: vo.formed && vo.appliedIndex > 0}
+	if !rp.Formed {
+		return rp
+	}
+	rp.Voters = vo.st.VotersAt(vo.appliedIndex)
+	now := vo.th.ts.Now()
+	if nameOf(rq.ID) != from || !vo.leads(now) || includes(rp.Voters, rq.ID) {
+		return rp
+	}
+	old, ok := named(rp.Voters.Voters, from)
+	quiet := replaceAfter * vo.th.cf.Timing.Election
+	if now.Sub(vo.heard[old]) < quiet || now.Sub(vo.leaderSince) < quiet {
+		return rp
+	}
+	if ok {
+		vo.replacing[rq.ID] = old
+		vo.step(quorum.ChangeVoters{Now: now, Add: rq.ID})
+	}
+	return rp
+}
+
+func includes(vs quorum.VoterSet, id quorum.ID) bool {
+	return vs.HasVoter(id) || vs.HasLearner(id)
+}
+
+func named(ids []quorum.ID, name string) (quorum.ID, bool) {
+	for _, id := range ids {
+		if nameOf(id) == name {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// replace removes lost disks whose newcomer votes by now. A newcomer counts only
+// once it has caught up, so that the failure of a second instance right after
+// the repair finds the state on a majority.
+func (vo *voter) replace(now time.Time) {
+	if !vo.leads(now) {
+		clear(vo.replacing)
+		return
+	}
+	vs := vo.st.VotersAt(vo.appliedIndex)
+	for id, old := range vo.replacing {
+		if !vs.HasVoter(id) {
+			continue
+		}
+		if !includes(vs, old) {
+			delete(vo.replacing, id)
+			continue
+		}
+		vo.step(quorum.ChangeVoters{Now: now, Remove: old})
+	}
+}
+
+func (vo *voter) status() control.StatusReply {
+	now := vo.th.ts.Now()
+	rp := control.StatusReply{
+		Instance:  vo.th.self.Name,
+		Role:      string(vo.role),
+		Leader:    nameOf(vo.leader),
+		Applied:   vo.appliedIndex,
+		Revision:  vo.sm.Revision(),
+		AuditHead: vo.sm.AuditHead(),
+		Intents:   vo.sm.Intents(),
+	}
+	if !vo.formed {
+		return rp
+	}
+	rp.Term = vo.st.Term()
+	rp.Commit = vo.st.Commit()
+	if !vo.leaderSince.IsZero() {
+		rp.LeaderSinceMillis = now.Sub(vo.leaderSince).Milliseconds()
+	}
+	vs := vo.st.Voters()
+	rp.Voters = texts(vs.Voters)
+	rp.Learners = texts(vs.Learners)
+	if vo.leads(now) {
+		rp.Holders = vo.bo.Holders(now)
+		_, rp.WaitingFor = vo.bo.InForce(now, rp.Revision)
+	}
+	return rp
+}
+
+func texts(ids []quorum.ID) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+func (vo *voter) audit(rq control.AuditRequest) control.AuditReply {
+	limit := rq.Limit
+	if limit <= 0 || limit > auditPage {
+		limit = auditPage
+	}
+	ens := vo.sm.Audit(rq.From)
+	return control.AuditReply{
+		Entries: ens[:min(len(ens), limit)],
+		Base:    vo.sm.AuditBase(),
+		Head:    vo.sm.AuditHead(),
+	}
+}
+
+// files gives the accepted files, from the leader alone: another voter may not
+// have heard of the newest change, and its operator would base an edit on old
+// content.
+func (vo *voter) files() filesReply {
+	if !vo.leads(vo.th.ts.Now()) {
+		return filesReply{Leader: vo.hint()}
+	}
+	return filesReply{OK: true, Revision: vo.sm.Revision(), Files: vo.sm.Files()}
+}
+
+func (vo *voter) changeVoters(ms votersRequest) votersReply {
+	now := vo.th.ts.Now()
+	if !vo.leads(now) {
+		return votersReply{Leader: vo.hint()}
+	}
+	vs := vo.st.Voters()
+	rp := votersReply{OK: true, Voters: vs}
+	switch ms.Request.Action {
+	case operator.RemoveVoter:
+		id, ok := named(append(vs.Voters, vs.Learners...), ms.Request.Name)
+		if !ok {
+			rp.Detail = "already removed"
+			return rp
+		}
+		vo.step(quorum.ChangeVoters{Now: now, Remove: id})
+		rp.Detail = "removal proposed"
+	default:
+		rp.Detail = "a control instance that starts with another disk asks to be added by itself"
+	}
+	rp.Voters = vo.st.Voters()
+	return rp
+}
--- /dev/null
+++ b/instance/local.go
@@ -0,0 +1,208 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/keys"
+	"balsamwinch.example/operator"
+	"balsamwinch.example/result"
+	"balsamwinch.example/settings"
+	"balsamwinch.example/timer"
+)
+
+// loopback is the IP number of a local tier.
+const loopback = "127.0.0.1"
+
+// LocalConfig describes a tier on one machine for demos, trials and tests. Its
+// instances speak over the network as they would apart.
+type LocalConfig struct {
+	Instances   int      // Instances is how many there are, each an entry.
+	Control     int      // Control is how many of them keep the durable state, from the first.
+	Region      string   // Region is that of all instances.
+	DataCentres []string // DataCentres are given to the instances in turn.
+	Folder      string   // Folder holds the data folders.
+	Timing      settings.Timing
+	Limits      settings.Limits
+}
+
+// Local is a running local tier.
+type Local struct {
+	ins    []*Instance
+	stop   []context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	errs   []error
+	ts     *timer.Service
+	client *operator.Client
+}
+
+// StartLocal starts a tier. Zero fields of Timing and Limits take their
+// defaults. The tier has no configuration until Apply.
+func StartLocal(cf LocalConfig, ts *timer.Service, lg *zap.Logger) (*Local, error) {
+	au, err := keys.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	all, err := localSettings(cf)
+	if err != nil {
+		return nil, err
+	}
+	lo := &Local{ts: ts}
+	for _, st := range all {
+		tl, err := issue(au, st.Name)
+		if err != nil {
+			return nil, errors.Join(err, lo.Close())
+		}
+		in, err := New(st, tl, ts, lg)
+		if err != nil {
+			return nil, errors.Join(err, lo.Close())
+		}
+		lo.start(in)
+	}
+	lo.client = operator.NewClient(lo.Addresses("Operator"))
+	return lo, nil
+}
+
+func issue(au *keys.Authority, name string) (*tls.Config, error) {
+	pa, err := au.Issue(keys.Subject{Name: name, IPs: []net.IP{net.ParseIP(loopback)}})
+	if err != nil {
+		return nil, err
+	}
+	return au.Config(pa)
+}
+
+// localSettings returns the settings of each instance.
+func localSettings(cf LocalConfig) ([]settings.Instance, error) {
+	pas, err := freeUDP(cf.Instances)
+	if err != nil {
+		return nil, err
+	}
+	var vrs []settings.Voter
+	var all []settings.Instance
+	for ix := range cf.Instances {
+		st := settings.NewInstance()
+		st.Name = fmt.Sprintf("entry-%02d", ix+1)
+		st.Region = cf.Region
+		st.DataCentre = cf.DataCentres[ix%len(cf.DataCentres)]
+		st.Roles = []settings.Role{settings.Entry}
+		st.Addresses = settings.Addresses{Caller: loopback + ":0", Backend: loopback + ":0", Operator: loopback + ":0", Peer: pas[ix]}
+		if ix < cf.Control {
+			st.Roles = append(st.Roles, settings.Control)
+			st.DataFolder = filepath.Join(cf.Folder, st.Name)
+			vrs = append(vrs, settings.Voter{Name: st.Name, Address: pas[ix]})
+		}
+		if cf.Timing != (settings.Timing{}) {
+			st.Timing = cf.Timing
+		}
+		if cf.Limits != (settings.Limits{}) {
+			st.Limits = cf.Limits
+		}
+		all = append(all, st)
+	}
+	for ix := range all {
+		all[ix].Control.Voters = vrs
+	}
+	return all, nil
+}
+
+// freeUDP returns addresses whose ports were free a moment ago. Voters must know
+// each other's addresses before any of them starts.
+func freeUDP(count int) ([]string, error) {
+	var out []string
+	var open []net.PacketConn
+	defer func() {
+		for _, pc := range open {
+			_ = pc.Close()
+		}
+	}()
+	for range count {
+		pc, err := net.ListenPacket("udp", loopback+":0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, pc)
+		out = append(out, pc.LocalAddr().String())
+	}
+	return out, nil
+}
+
+func (lo *Local) start(in *Instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lo.ins = append(lo.ins, in)
+	lo.stop = append(lo.stop, cancel)
+	lo.wg.Go(func() {
+		err := in.Serve(ctx)
+		lo.mu.Lock()
+		lo.errs = append(lo.errs, err)
+		lo.mu.Unlock()
+	})
+}
+
+// Instances returns the instances in their order.
+func (lo *Local) Instances() []*Instance {
+	return lo.ins
+}
+
+// Addresses returns where the named listener (Caller, Backend, Operator or Peer)
+// of each instance listens.
+func (lo *Local) Addresses(name string) []string {
+	var out []string
+	for _, in := range lo.ins {
+		out = append(out, in.Address(name))
+	}
+	return out
+}
+
+// Apply adds files to the configuration or replaces those of the same names, and
+// returns once they are in force everywhere.
+func (lo *Local) Apply(ctx context.Context, changeID string, fis []operator.File) error {
+	known, err := lo.client.Files(ctx)
+	if err != nil {
+		return err
+	}
+	base := make(map[string]uint64)
+	for _, sf := range known.Files {
+		base[sf.Name] = sf.Revision
+	}
+	cr := operator.ChangeRequest{ChangeID: changeID, Author: "local"}
+	for _, fi := range fis {
+		cr.Files = append(cr.Files, operator.FileChange{Name: fi.Name, Base: base[fi.Name], Content: fi.Content})
+	}
+	rp, err := lo.client.Change(ctx, cr)
+	if err != nil {
+		return err
+	}
+	if rp.Code != result.Accepted {
+		return &result.Error{Code: rp.Code, Op: "apply", Detail: fmt.Sprint(rp.Faults, rp.Conflict, rp.WaitingFor)}
+	}
+	return nil
+}
+
+// Wait returns once cond holds for every instance, or the context's error.
+func (lo *Local) Wait(ctx context.Context, cond func(*Instance) bool) error {
+	for _, in := range lo.ins {
+		for !cond(in) {
+			if err := lo.ts.Sleep(ctx, tickPeriod); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops all instances gracefully at a time and returns what went wrong.
+func (lo *Local) Close() error {
+	for _, stop := range lo.stop {
+		stop()
+	}
+	lo.wg.Wait()
+	return errors.Join(lo.errs...)
+}
--- /dev/null
+++ b/instance/voter.go
@@ -0,0 +1,471 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/control"
+	"balsamwinch.example/journal"
+	"balsamwinch.example/peer"
+	"balsamwinch.example/quorum"
+	"balsamwinch.example/result"
+)
+
+// Bounds of a voter.
+const (
+	// snapshotEvery is after how many entries the state is written as a snapshot.
+	snapshotEvery = 1000
+	// inForceWait is how long a change waits to be in force before its operator is
+	// told that it is pending.
+	inForceWait = 8 * time.Second
+	// auditPage is how many audit entries one reply carries at most.
+	auditPage = 200
+	// replaceAfter is how many election timeouts a disk must have been silent, and
+	// the leader must have led, before another disk of its instance replaces it.
+	replaceAfter = 4
+)
+
+// pending is a command that the leader proposed and that is not applied yet.
+type pending struct {
+	index, term uint64
+	reply       chan<- peer.Message
+}
+
+// waiting is a committed change whose operator waits until it is in force.
+type waiting struct {
+	oc    control.ChangeOutcome
+	pr    control.Progress
+	until time.Time
+	reply chan<- peer.Message
+}
+
+// voter performs what the replicated log decides: it saves, sends and applies.
+// It runs on the control thread.
+type voter struct {
+	th     *thread
+	id     quorum.ID
+	boot   uint64
+	jo     *journal.Journal
+	formed bool
+	st     quorum.State
+	sm     control.State
+	failed error
+
+	appliedIndex, appliedTerm uint64
+	snapshotIndex             uint64
+	ready                     bool // ready says that an entry of the own term was applied while leading.
+	role                      quorum.Role
+	leader                    quorum.ID
+	leaderSince               time.Time
+	bo                        control.Book
+	tag                       uint64
+	proposed                  map[uint64]pending
+	waiting                   []waiting
+	heard                     map[quorum.ID]time.Time
+	replacing                 map[quorum.ID]quorum.ID // replacing maps a newcomer to the lost disk that it replaces.
+}
+
+// diskID returns the identity of a voter: the instance's name and its disk.
+func diskID(name, disk string) quorum.ID {
+	return quorum.ID(name + "/" + disk)
+}
+
+// nameOf returns the instance's name in a voter's identity.
+func nameOf(id quorum.ID) string {
+	name, _, _ := strings.Cut(string(id), "/")
+	return name
+}
+
+// newVoter returns the voter of an opened data folder. It takes part once the
+// tier is formed.
+func newVoter(th *thread, jo *journal.Journal, rc journal.Recovered) (*voter, error) {
+	vo := &voter{
+		th:        th,
+		id:        diskID(th.cf.Name, rc.DiskID),
+		boot:      rc.Boot,
+		jo:        jo,
+		sm:        control.NewState(),
+		proposed:  make(map[uint64]pending),
+		heard:     make(map[quorum.ID]time.Time),
+		replacing: make(map[quorum.ID]quorum.ID),
+	}
+	if rc.Snapshot.Index == 0 {
+		return vo, nil
+	}
+	if err := vo.restoreState(rc.Snapshot.Index, rc.Snapshot.Term, rc.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	vo.start(rc.Hard, rc.Snapshot, rc.Entries)
+	return vo, nil
+}
+
+func (vo *voter) restoreState(index, term uint64, data []byte) error {
+	if len(data) > 0 {
+		sm, err := control.DecodeState(data)
+		if err != nil {
+			return &result.Error{Code: result.DamagedState, Op: "read snapshot", Err: err}
+		}
+		vo.sm = sm
+	}
+	vo.appliedIndex = index
+	vo.appliedTerm = term
+	vo.snapshotIndex = index
+	return nil
+}
+
+func (vo *voter) start(hs quorum.HardState, sn journal.Snapshot, ens []quorum.Entry) {
+	now := vo.th.ts.Now()
+	vo.formed = true
+	vo.st = quorum.New(quorum.Config{
+		Self:      vo.id,
+		Election:  vo.th.cf.Timing.Election,
+		Heartbeat: vo.th.cf.Timing.Heartbeat,
+		Seed:      uint64(now.UnixNano()),
+		Boot:      vo.boot,
+	}, quorum.Stored{
+		Hard:           hs,
+		SnapshotIndex:  sn.Index,
+		SnapshotTerm:   sn.Term,
+		SnapshotVoters: sn.Voters,
+		Entries:        ens,
+	}, now)
+	vo.role = vo.st.Role()
+}
+
+// form starts the replicated log of a fresh disk, with the voters of the tier's
+// first start or, if they are none, as an outsider that waits to be added.
+func (vo *voter) form(vs quorum.VoterSet) {
+	if vo.formed {
+		return
+	}
+	if len(vs.Voters) == 0 {
+		vo.start(quorum.HardState{}, journal.Snapshot{}, nil)
+		return
+	}
+	sn := firstSnapshot(vs)
+	if vo.fail(vo.jo.SaveSnapshot(sn)) {
+		return
+	}
+	vo.appliedIndex, vo.appliedTerm, vo.snapshotIndex = sn.Index, sn.Term, sn.Index
+	vo.start(quorum.HardState{Term: sn.Term}, sn, nil)
+	vo.th.lg.Info("control-formed", zap.Any("Voters", vs.Voters))
+}
+
+// firstSnapshot is the same on every voter, so that their logs start equal.
+func firstSnapshot(vs quorum.VoterSet) journal.Snapshot {
+	return journal.Snapshot{Index: 1, Term: 1, Voters: vs}
+}
+
+func (vo *voter) fail(err error) bool {
+	if err != nil && vo.failed == nil {
+		vo.failed = err
+	}
+	return err != nil
+}
+
+func (vo *voter) tick(now time.Time) {
+	if !vo.formed {
+		return
+	}
+	vo.step(quorum.Tick{Now: now})
+	vo.replace(now)
+	vo.settle(now)
+}
+
+// step gives an event to the replicated log and performs its actions in order.
+func (vo *voter) step(ev quorum.Event) {
+	st, acs := quorum.Step(vo.st, ev)
+	vo.st = st
+	for _, ac := range acs {
+		if vo.failed != nil {
+			return
+		}
+		vo.perform(ac)
+	}
+}
+
+func (vo *voter) perform(ac quorum.Action) {
+	switch ac := ac.(type) {
+	case quorum.Save:
+		vo.fail(vo.jo.Save(ac))
+	case quorum.Send:
+		vo.send(ac)
+	case quorum.Apply:
+		vo.apply(ac.Entries)
+	case quorum.Appended:
+		vo.appended(ac)
+	case quorum.Refused:
+		vo.refused(ac)
+	case quorum.NeedSnapshot:
+		vo.sendSnapshot(ac.To)
+	case quorum.Restore:
+		vo.restore(ac)
+	case quorum.RoleChanged:
+		vo.roleChanged(ac)
+	}
+}
+
+func (vo *voter) send(ac quorum.Send) {
+	frame, err := vo.th.co.Encode(ac.Message)
+	if err != nil {
+		vo.th.lg.Error("message-not-encoded", zap.Error(err))
+		return
+	}
+	vo.th.send(nameOf(ac.To), "", routed{From: vo.id, To: ac.To, Frame: frame})
+}
+
+// message handles what other instances ask of control.
+func (vo *voter) message(ev messaged) {
+	switch ms := ev.ms.(type) {
+	case routed:
+		vo.routed(ev.from, ms)
+	case formationRequest:
+		ev.reply <- vo.formation(ev.from, ms)
+	case control.Renewal:
+		ev.reply <- vo.renewal(ms)
+	case control.Proposal:
+		vo.proposal(ms, ev.reply)
+	case control.StatusRequest:
+		ev.reply <- vo.status()
+	case control.AuditRequest:
+		ev.reply <- vo.audit(ms)
+	case filesRequest:
+		ev.reply <- vo.files()
+	case votersRequest:
+		ev.reply <- vo.changeVoters(ms)
+	}
+}
+
+// routed passes a message of the replicated log on, if it is meant for this
+// disk and comes from the instance that it names.
+func (vo *voter) routed(from string, ms routed) {
+	if !vo.formed || ms.To != vo.id || nameOf(ms.From) != from {
+		return
+	}
+	in, err := vo.th.co.Decode(ms.Frame)
+	if err != nil {
+		vo.th.lg.Warn("message-not-decoded", zap.String("From", from), zap.Error(err))
+		return
+	}
+	now := vo.th.ts.Now()
+	vo.heard[ms.From] = now
+	vo.step(quorum.Received{Now: now, From: ms.From, Message: in})
+	vo.settle(now)
+}
+
+// apply runs committed entries through the state machine and answers those who
+// wait for them.
+func (vo *voter) apply(ens []quorum.Entry) {
+	for _, en := range ens {
+		vo.appliedIndex, vo.appliedTerm = en.Index, en.Term
+		if vo.role == quorum.Leader && en.Term == vo.st.Term() {
+			vo.ready = true
+		}
+		if en.Type == quorum.EntryCommand {
+			vo.command(en)
+		}
+	}
+	if vo.appliedIndex-vo.snapshotIndex >= snapshotEvery {
+		vo.snapshot()
+	}
+}
+
+func (vo *voter) command(en quorum.Entry) {
+	cm, err := control.Decode(en.Data)
+	if err != nil {
+		// The command was checked before it was proposed, so an unreadable one was
+		// written by a newer version. Going on would let this voter's state differ.
+		vo.fail(&result.Error{Code: result.DamagedState, Op: "read command", Err: err})
+		return
+	}
+	before := vo.sm.Revision()
+	sm, oc := vo.sm.Apply(en.Index, cm)
+	vo.sm = sm
+	if rev := sm.Revision(); rev > before && vo.role == quorum.Leader {
+		vo.bo = vo.bo.WithRevision(vo.th.ts.Now(), rev)
+		vo.notify(rev)
+	}
+	vo.answer(en, oc)
+}
+
+// notify tells every lease holder of a new revision, so that they don't wait
+// for their next renewal. A lost notice only delays.
+func (vo *voter) notify(revision uint64) {
+	for _, in := range vo.bo.Instances(vo.th.ts.Now()) {
+		if in.Name == vo.th.self.Name {
+			vo.th.wake()
+			continue
+		}
+		vo.th.send(in.Name, in.PeerAddress, notice{Revision: revision})
+	}
+}
+
+// answer gives an outcome to the one who waits for the entry, if any.
+func (vo *voter) answer(en quorum.Entry, oc control.Outcome) {
+	for tag, pd := range vo.proposed {
+		if pd.index != en.Index {
+			continue
+		}
+		delete(vo.proposed, tag)
+		if pd.term != en.Term {
+			pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.st.Leader())}
+			continue
+		}
+		vo.deliver(pd.reply, oc)
+	}
+}
+
+func (vo *voter) deliver(reply chan<- peer.Message, oc control.Outcome) {
+	co, ok := oc.(control.ChangeOutcome)
+	if !ok || co.Code != result.Accepted {
+		reply <- outcomeReply(oc)
+		return
+	}
+	now := vo.th.ts.Now()
+	vo.waiting = append(vo.waiting, waiting{
+		oc:    co,
+		pr:    control.NewProgress().WithOutcome(co),
+		until: now.Add(inForceWait),
+		reply: reply,
+	})
+	vo.settle(now)
+}
+
+func outcomeReply(oc control.Outcome) control.ProposalReply {
+	data, err := control.EncodeOutcome(oc)
+	if err != nil {
+		return control.ProposalReply{Code: result.ControlUnavailable}
+	}
+	return control.ProposalReply{Code: result.Accepted, Outcome: data}
+}
+
+// settle answers operators whose change is in force by now, or whose patience
+// has run out.
+func (vo *voter) settle(now time.Time) {
+	if len(vo.waiting) == 0 {
+		return
+	}
+	vo.waiting = slices.DeleteFunc(vo.waiting, func(wa waiting) bool {
+		if all, _ := vo.bo.InForce(now, wa.oc.Revision); all && vo.leads(now) {
+			wa.pr, _ = wa.pr.With(control.EventInForce)
+		}
+		if !wa.pr.Done() && now.Before(wa.until) && vo.role == quorum.Leader {
+			return false
+		}
+		wa.reply <- outcomeReply(wa.oc.At(wa.pr))
+		return true
+	})
+}
+
+// leads reports whether this voter may act as the leader: no other can exist
+// until its lease ends, and it has applied all that earlier leaders committed.
+func (vo *voter) leads(now time.Time) bool {
+	return vo.formed && vo.role == quorum.Leader && vo.ready && now.Before(vo.st.LeaseUntil())
+}
+
+func (vo *voter) appended(ac quorum.Appended) {
+	pd, ok := vo.proposed[ac.Tag]
+	if !ok {
+		return
+	}
+	pd.index, pd.term = ac.Index, ac.Term
+	vo.proposed[ac.Tag] = pd
+}
+
+func (vo *voter) refused(ac quorum.Refused) {
+	pd, ok := vo.proposed[ac.Tag]
+	if !ok {
+		return
+	}
+	delete(vo.proposed, ac.Tag)
+	pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(ac.Leader)}
+}
+
+// roleChanged starts a new book of leases when this voter becomes the leader,
+// and tells those who wait that the outcome is unknown when it no longer is.
+func (vo *voter) roleChanged(ac quorum.RoleChanged) {
+	now := vo.th.ts.Now()
+	if ac.Leader != vo.leader {
+		vo.leader = ac.Leader
+		vo.leaderSince = now
+		if ac.Leader != "" {
+			vo.th.leader = nameOf(ac.Leader)
+		}
+	}
+	was := vo.role
+	vo.role = ac.Role
+	vo.th.lg.Info("role-changed", zap.String("Role", string(ac.Role)), zap.Uint64("Term", ac.Term),
+		zap.String("Leader", nameOf(ac.Leader)), zap.String("Reason", ac.Reason))
+	if ac.Role == quorum.Leader && was != quorum.Leader {
+		vo.ready = false
+		vo.bo = control.NewBook(now, vo.th.cf.Timing.Lease).WithRevision(now, vo.sm.Revision())
+		return
+	}
+	if was == quorum.Leader && ac.Role != quorum.Leader {
+		vo.abandon()
+	}
+}
+
+// abandon answers all who wait at a leader that was deposed: their commands may
+// or may not be committed, and they ask the next leader by resending.
+func (vo *voter) abandon() {
+	vo.ready = false
+	for tag, pd := range vo.proposed {
+		delete(vo.proposed, tag)
+		pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.leader)}
+	}
+	for _, wa := range vo.waiting {
+		wa.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.leader)}
+	}
+	vo.waiting = nil
+}
+
+func (vo *voter) snapshot() {
+	data, err := vo.sm.Encode()
+	if vo.fail(err) {
+		return
+	}
+	sn := journal.Snapshot{
+		Index:  vo.appliedIndex,
+		Term:   vo.appliedTerm,
+		Voters: vo.st.VotersAt(vo.appliedIndex),
+		Data:   data,
+	}
+	if vo.fail(vo.jo.SaveSnapshot(sn)) {
+		return
+	}
+	vo.snapshotIndex = sn.Index
+	vo.step(quorum.Compacted{Index: sn.Index})
+}
+
+func (vo *voter) sendSnapshot(to quorum.ID) {
+	data, err := vo.sm.Encode()
+	if vo.fail(err) {
+		return
+	}
+	vo.step(quorum.SnapshotReady{
+		Now:    vo.th.ts.Now(),
+		To:     to,
+		Index:  vo.appliedIndex,
+		Term:   vo.appliedTerm,
+		Voters: vo.st.VotersAt(vo.appliedIndex),
+		Data:   data,
+	})
+}
+
+func (vo *voter) restore(ac quorum.Restore) {
+	sn := journal.Snapshot{Index: ac.Index, Term: ac.Term, Voters: ac.Voters, Data: ac.Data}
+	if vo.fail(vo.jo.SaveSnapshot(sn)) {
+		return
+	}
+	vo.fail(vo.restoreState(ac.Index, ac.Term, ac.Data))
+}
+
+func (vo *voter) resign() {
+	if vo.formed {
+		vo.step(quorum.Resign{Now: vo.th.ts.Now()})
+	}
+}
--- /dev/null
+++ b/limit/table_test.go
@@ -0,0 +1,268 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamwinch.example/backend"
+	"balsamwinch.example/operator"
+	"balsamwinch.example/snapshot"
+	"balsamwinch.example/view"
+)
+
+// viewOf returns a view in which service s has the given entries, and servers
+// a, b and so on hold its shards in turn.
+func viewOf(servers, shards, slots, entries int) *view.View {
+	vi := &view.View{}
+	pa := operator.Partition{Number: 1}
+	for ix := range shards {
+		pa.Shards = append(pa.Shards, fmt.Sprint(ix))
+	}
+	for ix := range servers {
+		vi.Servers = append(vi.Servers, backend.Record{
+			Server: fmt.Sprintf("%c%.*d", 'a'+ix%26, min(1, ix/26), ix/26), Service: "s",
+			Incarnation: 1, Sequence: 1, State: backend.Serving, Slots: slots, ConnectionLimit: 110,
+			Holdings: []backend.Holding{{Shard: fmt.Sprint(ix % shards), Snapshot: snapshot.ID{Partition: 1, Version: 1}}},
+		})
+	}
+	for ix := range entries {
+		vi.Instances = append(vi.Instances, view.Instance{Name: fmt.Sprint(ix), Entry: true})
+	}
+	vi.Configuration.Services = map[string]operator.Service{"s": {Entries: entries, Partitions: []operator.Partition{pa}}}
+	vi.Configuration.Limits.MaxEntries = min(entries, 110)
+	return vi
+}
+
+// tableOf returns a table of servers that all hold one shard, and their records.
+func tableOf(cf TableConfig, n int) (*Table, []backend.Record) {
+	vi := viewOf(n, 1, 8, 1)
+	ta := NewTable(nil, cf)
+	ta.update(t0, vi)
+	return ta, vi.Servers
+}
+
+// warmTable makes each server of a table serving with replies of 5 ms.
+func warmTable(ta *Table, res []backend.Record, now time.Time) {
+	for _, re := range res {
+		for range 2 * coldReplies {
+			ch, _ := ta.Pick(now, operator.Adaptive, []backend.Record{re}, nil)
+			ta.Done(now, ch, Outcome{Kind: OK, Latency: 5 * ms})
+		}
+	}
+	for _, gr := range ta.sn.Load().groups {
+		gr.review(now)
+	}
+}
+
+func picks(ta *Table, now time.Time, res []backend.Record, n int) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		ch, ok := ta.Pick(now, operator.Adaptive, res, nil)
+		if !ok {
+			counts["none"]++
+			continue
+		}
+		counts[ch.Server]++
+		ta.Done(now, ch, Outcome{Kind: OK, Latency: 5 * ms})
+	}
+	return counts
+}
+
+// A hedge has won and the slow request was cancelled. The server goes on with
+// it for a while; a request sent into that slot would be shed. The slot stays
+// taken until the server's word or the bound, and no longer.
+func TestHoldUntilProof(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		hold    HoldPolicy
+		outcome Outcome
+		then    func(ta *Table, ch Choice)
+		after   time.Duration
+		held    int
+	}{
+		{"held", UntilProof, Outcome{Kind: Cancelled}, nil, 0, 1},
+		{"held to the bound", UntilProof, Outcome{Kind: Timeout}, nil, DefaultHoldBound - 1, 1},
+		{"bound", UntilProof, Outcome{Kind: Silent}, nil, DefaultHoldBound, 0},
+		{"late reply", UntilProof, Outcome{Kind: Cancelled}, func(ta *Table, ch Choice) { ta.Stopped(t0, ch) }, 0, 0},
+		{"stopped at once", UntilProof, Outcome{Kind: Cancelled, Stopped: true}, nil, 0, 0},
+		{"not running", UntilProof, Outcome{Kind: Shed}, nil, 0, 0},
+		{"freed", FreeAtOnce, Outcome{Kind: Cancelled}, nil, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			ta, res := tableOf(TableConfig{Hold: tc.hold}, 1)
+			ch, ok := ta.Pick(t0, operator.Adaptive, res, nil)
+			c.Assert(ok, qt.IsTrue)
+			ta.Done(t0, ch, tc.outcome)
+			ta.Done(t0, ch, tc.outcome) // a second end of the same request counts for nothing
+			if tc.then != nil {
+				tc.then(ta, ch)
+			}
+			now := t0.Add(tc.after)
+			se, _ := ta.Server(now, "a")
+			running, held := se.InFlight()
+			c.Assert([]int{running, held}, qt.DeepEquals, []int{0, tc.held})
+			_, ok = ta.Pick(now, operator.Adaptive, res, nil)
+			c.Assert(ok, qt.Equals, tc.held == 0 && tc.outcome.Kind != Shed)
+		})
+	}
+}
+
+// A server restarts while a request is in flight. The slot went with the old
+// process; the late end of the request must not free one of the new process.
+func TestRestartVoidsFlights(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 1)
+	old, _ := ta.Pick(t0, operator.Adaptive, res, nil)
+	res[0].Incarnation = 2
+	ta.update(t0, &view.View{Servers: res})
+	_, ok := ta.Pick(t0, operator.Adaptive, res, nil)
+	c.Assert(ok, qt.IsTrue)
+	ta.Done(t0, old, Outcome{Kind: OK, Latency: 5 * ms})
+	se, _ := ta.Server(t0, "a")
+	running, _ := se.InFlight()
+	c.Assert(running, qt.Equals, 1)
+}
+
+// A server drains and this instance has not heard of it. The first reply that
+// says so must be the last request sent, though the view still says Serving.
+func TestDrainingCountsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 2)
+	warmTable(ta, res, t0)
+	ch, _ := ta.Pick(t0, operator.Adaptive, res, []string{"b"})
+	ta.Done(t0, ch, Outcome{Kind: Draining})
+	ta.update(t0, &view.View{Servers: res})
+	c.Assert(picks(ta, t0, res, 100), qt.DeepEquals, map[string]int{"b": 100})
+	_, able := ta.Pause(t0, res, []string{"b"})
+	c.Assert(able, qt.IsFalse)
+}
+
+// A replica stops answering. Requests to it pile up until their deadlines,
+// unless it is passed over once nothing came back for a while, gets a single
+// probe now and then, and returns slowly after good ones.
+func TestStuckReplica(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 2)
+	warmTable(ta, res, t0)
+	stuck, _ := ta.Pick(t0, operator.Adaptive, res, []string{"b"})
+	now := t0.Add(200 * ms)
+	c.Assert(picks(ta, now, res, 50), qt.DeepEquals, map[string]int{"b": 50})
+	se, _ := ta.Server(now, "a")
+	c.Assert(se.Reason(), qt.Equals, Stuck)
+	ta.Done(now, stuck, Outcome{Kind: OK, Latency: 200 * ms})
+	c.Assert(picks(ta, now, res[:1], 1), qt.DeepEquals, map[string]int{"a": 1}, qt.Commentf("it is all there is"))
+
+	now = now.Add(time.Second)
+	for range probesPassed {
+		ch, _ := ta.Pick(now, operator.Adaptive, res, nil)
+		c.Assert([]any{ch.Server, ch.Probe}, qt.DeepEquals, []any{"a", true})
+		other, _ := ta.Pick(now, operator.Adaptive, res, nil)
+		c.Assert(other.Server, qt.Equals, "b", qt.Commentf("one probe at a time"))
+		ta.Done(now, other, Outcome{Kind: OK, Latency: 5 * ms})
+		ta.Done(now, ch, Outcome{Kind: OK, Latency: 5 * ms})
+		now = now.Add(probeGap)
+	}
+	se, _ = ta.Server(now, "a")
+	c.Assert([]any{se.State(), se.room()}, qt.DeepEquals, []any{StateCold, 1})
+}
+
+// A replica has died and refuses connections. It answers quicker than any other
+// and never has anything in flight, so by load alone it would get all requests.
+func TestDeadReplica(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 2)
+	warmTable(ta, res, t0)
+	dead := 0
+	var open []Choice
+	for range 8 {
+		ch, _ := ta.Pick(t0, operator.Adaptive, res, nil)
+		if ch.Server == "b" {
+			open = append(open, ch)
+			continue
+		}
+		dead++
+		ta.Done(t0, ch, Outcome{Kind: Failed})
+	}
+	c.Assert(dead <= 2, qt.IsTrue, qt.Commentf("%d of 8 sent to it", dead))
+	c.Assert(len(open) >= 6, qt.IsTrue)
+}
+
+// A new replica with empty caches joins busy ones. If it got its full part at
+// once, that many queries would be slow; it starts with a little.
+func TestColdStart(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 3)
+	warmTable(ta, res[:2], t0)
+	var chs []Choice
+	cold := 0
+	for range 12 {
+		ch, ok := ta.Pick(t0, operator.Adaptive, res, nil)
+		c.Assert(ok, qt.IsTrue)
+		if ch.Server == "c" {
+			cold++
+		}
+		chs = append(chs, ch)
+	}
+	c.Assert(cold, qt.Equals, 1)
+	for _, ch := range chs {
+		ta.Done(t0, ch, Outcome{Kind: OK, Latency: 5 * ms})
+	}
+	picks(ta, t0, res[2:], coldReplies)
+	now := t0.Add(time.Second)
+	counts := picks(ta, now, res, 300)
+	c.Assert(counts["c"] > 60, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// Many goroutines use one table. Each server's connection share bounds what is
+// in flight at every moment, and all of it has come back at the end.
+func TestTableConcurrent(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 6)
+	var wg sync.WaitGroup
+	for worker := range 8 {
+		wg.Go(func() {
+			rn := rand.New(rand.NewPCG(1, uint64(worker)))
+			for step := range 2000 {
+				now := t0.Add(time.Duration(step) * ms)
+				tactics := []operator.Tactics{operator.Adaptive, operator.Baseline}[rn.IntN(2)]
+				ch, ok := ta.Pick(now, tactics, res, nil)
+				if !ok {
+					continue
+				}
+				if se, _ := ta.Server(now, ch.Server); se.inFlight > ch.Connections {
+					t.Errorf("%d in flight over %d connections", se.inFlight, ch.Connections)
+				}
+				ki := []OutcomeKind{OK, OK, Shed, Cancelled, Failed, NotSent}[rn.IntN(6)]
+				ta.Done(now, ch, Outcome{Kind: ki, Latency: 5 * ms})
+				ta.Stopped(now, ch)
+				ta.Observe("s", 5*ms)
+			}
+		})
+	}
+	wg.Wait()
+	for _, re := range res {
+		se, _ := ta.Server(t0.Add(time.Hour), re.Server)
+		running, held := se.InFlight()
+		c.Assert([]int{running, held}, qt.DeepEquals, []int{0, 0})
+	}
+}
+
+// Two queries wait for the same full server. The slot that frees goes to the
+// one that came first; if that has its answer from elsewhere, to the next.
+func TestWaitersInOrder(t *testing.T) {
+	c := qt.New(t)
+	ta, res := tableOf(TableConfig{}, 1)
+	ch, _ := ta.Pick(t0, operator.Adaptive, res, nil)
+	first, second := ta.Await(t0, res, nil), ta.Await(t0, res, nil)
+	ta.Done(t0, ch, Outcome{Kind: OK, Latency: 5 * ms})
+	c.Assert([]int{len(first.Room()), len(second.Room())}, qt.DeepEquals, []int{1, 0})
+	first.Close()
+	c.Assert(len(second.Room()), qt.Equals, 1)
+	second.Close()
+}
--- /dev/null
+++ b/member/message.go
@@ -0,0 +1,202 @@
+package member
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"balsamwinch.example/backend"
+	"balsamwinch.example/peer"
+	"balsamwinch.example/snapshot"
+	"balsamwinch.example/view"
+)
+
+// The kinds of this package's messages.
+const (
+	kindDigest   = peer.KindMember + 1
+	kindCompare  = peer.KindMember + 2
+	kindTransfer = peer.KindMember + 3
+)
+
+// Digest opens a comparison of tables and asks whether the other is there. It
+// has the same size however much the table holds.
+type Digest struct {
+	Sum uint64 `cbor:"1,keyasint"`
+	// Self is the sender's own entry, for a receiver that may not know it.
+	Self *Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// Compare goes on where tables differ. An empty one answers a Digest and says
+// that they are alike.
+type Compare struct {
+	Branches []Branch `cbor:"1,keyasint,omitempty"`
+	Leaves   []Leaf   `cbor:"2,keyasint,omitempty"`
+}
+
+// Branch gives the sums of the sender's table under the children of a path.
+type Branch struct {
+	Path   path     `cbor:"1,keyasint"`
+	Sums   []uint64 `cbor:"2,keyasint"`
+	Counts []int    `cbor:"3,keyasint"`
+}
+
+// Leaf gives the versions that the sender holds under a path.
+type Leaf struct {
+	Path   path    `cbor:"1,keyasint"`
+	Stamps []Stamp `cbor:"2,keyasint"`
+}
+
+// Stamp is the version of an entry in few bytes.
+type Stamp struct {
+	_           struct{} `cbor:",toarray"`
+	Hash        uint64
+	Check       uint32 // Check tells apart what the numbers leave alike.
+	Incarnation uint64
+	Left        int
+	Sequence    uint64
+	Claim       uint64
+}
+
+// Transfer carries entries and asks for others by their hashes.
+type Transfer struct {
+	Entries []Entry  `cbor:"1,keyasint,omitempty"`
+	Want    []uint64 `cbor:"2,keyasint,omitempty"`
+	Rumour  bool     `cbor:"3,keyasint,omitempty"` // Rumour says that the entries are news to be passed on.
+}
+
+// Entry is an entry on the wire. Exactly one of Record and Instance is set.
+type Entry struct {
+	Record           *Record        `cbor:"1,keyasint,omitempty"`
+	Instance         *view.Instance `cbor:"2,keyasint,omitempty"`
+	Incarnation      uint64         `cbor:"3,keyasint"`
+	Sequence         uint64         `cbor:"4,keyasint,omitempty"`
+	Claim            uint64         `cbor:"5,keyasint,omitempty"`
+	Status           uint8          `cbor:"6,keyasint,omitempty"`
+	Owner            string         `cbor:"7,keyasint,omitempty"`
+	OwnerIncarnation uint64         `cbor:"8,keyasint,omitempty"`
+	// AgeMillis is for how long the sender has held the entry for doubted or
+	// left, or its owner for gone.
+	AgeMillis int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Record is a backend.Record on the wire, without what Entry says already.
+type Record struct {
+	Server          string            `cbor:"1,keyasint"`
+	Service         string            `cbor:"2,keyasint,omitempty"`
+	Address         string            `cbor:"3,keyasint,omitempty"`
+	DataCentre      string            `cbor:"4,keyasint,omitempty"`
+	Labels          map[string]string `cbor:"5,keyasint,omitempty"`
+	State           backend.State     `cbor:"6,keyasint,omitempty"`
+	Slots           int               `cbor:"7,keyasint,omitempty"`
+	ConnectionLimit int               `cbor:"8,keyasint,omitempty"`
+	Holdings        []Holding         `cbor:"9,keyasint,omitempty"`
+	TTLMillis       int64             `cbor:"10,keyasint,omitempty"`
+}
+
+// Holding is a backend.Holding on the wire.
+type Holding struct {
+	_         struct{} `cbor:",toarray"`
+	Shard     string
+	Partition uint64
+	Version   uint64
+}
+
+// Kind returns the number of the type.
+func (Digest) Kind() peer.Kind { return kindDigest }
+
+// Kind returns the number of the type.
+func (Compare) Kind() peer.Kind { return kindCompare }
+
+// Kind returns the number of the type.
+func (Transfer) Kind() peer.Kind { return kindTransfer }
+
+// Messages returns one zero value of each message type, for the codec.
+func Messages() []peer.Message {
+	return []peer.Message{Digest{}, Compare{}, Transfer{}}
+}
+
+// stamp returns the version of an item in few bytes.
+func (it *item) stamp() Stamp {
+	ve := it.version
+	return Stamp{
+		Hash: it.hash, Check: uint32(it.sum), Incarnation: ve.incarnation,
+		Left: ve.left(), Sequence: ve.sequence, Claim: ve.claim,
+	}
+}
+
+// compare orders stamps of one subject as far as their numbers tell.
+func (sm Stamp) compare(ot Stamp) int {
+	return cmp.Or(
+		cmp.Compare(sm.Incarnation, ot.Incarnation),
+		cmp.Compare(sm.Left, ot.Left),
+		cmp.Compare(sm.Sequence, ot.Sequence),
+		cmp.Compare(sm.Claim, ot.Claim),
+	)
+}
+
+// pack returns an item as it travels.
+func (sp *step) pack(it item) Entry {
+	ve := it.version
+	we := Entry{
+		Instance: it.instance, Incarnation: ve.incarnation, Sequence: ve.sequence,
+		Claim: ve.claim, Status: uint8(ve.status),
+	}
+	if it.mark != 0 {
+		we.AgeMillis = max(sp.now-it.mark, 0).Milliseconds()
+	}
+	if it.record != nil {
+		we.Record = packRecord(it.record)
+		we.Owner, we.OwnerIncarnation = ve.owner, ve.ownerIncarnation
+	}
+	return we
+}
+
+// unpack returns an entry that arrived. It returns an error if the entry has no
+// subject or an unknown status.
+func (we Entry) unpack() (*entry, error) {
+	ve := version{
+		incarnation: we.Incarnation, sequence: we.Sequence, claim: we.Claim,
+		status: status(we.Status), owner: we.Owner, ownerIncarnation: we.OwnerIncarnation,
+	}
+	switch {
+	case ve.status > statusLeft:
+		return nil, fmt.Errorf("member: status %d is not known", we.Status)
+	case we.Record != nil && we.Record.Server != "":
+		re := we.Record.unpack()
+		re.Incarnation, re.Sequence = we.Incarnation, we.Sequence
+		return newServerEntry(&re, ve), nil
+	case we.Instance != nil && we.Instance.Name != "" && we.Instance.Incarnation == we.Incarnation:
+		return newInstanceEntry(we.Instance, ve), nil
+	default:
+		return nil, fmt.Errorf("member: entry without a subject")
+	}
+}
+
+func (we Entry) age() time.Duration {
+	return time.Duration(max(we.AgeMillis, 0)) * time.Millisecond
+}
+
+func packRecord(re *backend.Record) *Record {
+	wr := &Record{
+		Server: re.Server, Service: re.Service, Address: re.Address, DataCentre: re.DataCentre,
+		Labels: re.Labels, State: re.State, Slots: re.Slots, ConnectionLimit: re.ConnectionLimit,
+		TTLMillis: re.TTLMillis,
+	}
+	for _, ho := range re.Holdings {
+		wr.Holdings = append(wr.Holdings, Holding{Shard: ho.Shard, Partition: ho.Snapshot.Partition, Version: ho.Snapshot.Version})
+	}
+	return wr
+}
+
+func (wr *Record) unpack() backend.Record {
+	re := backend.Record{
+		Server: wr.Server, Service: wr.Service, Address: wr.Address, DataCentre: wr.DataCentre,
+		Labels: wr.Labels, State: wr.State, Slots: wr.Slots, ConnectionLimit: wr.ConnectionLimit,
+		TTLMillis: wr.TTLMillis,
+	}
+	for _, wh := range wr.Holdings {
+		id := snapshot.ID{Partition: wh.Partition, Version: wh.Version}
+		re.Holdings = append(re.Holdings, backend.Holding{Shard: wh.Shard, Snapshot: id})
+	}
+	return re
+}
--- a/once/once.go
+++ b/once/once.go
@@ -14,6 +14,9 @@
 	Key     string // Key is the caller's key, unique for each request it wants run once.
 	Digest  string // Digest is the SHA-256 of service, shards and body, in hexadecimal.
 	Service string
+	// Attempt names this arrival of the request, unique among all arrivals at all
+	// instances, so that a Begin which is resent after a lost reply is Fresh again.
+	Attempt string
 }
 
 // Status says what an earlier arrival of the key left behind.
@@ -31,6 +34,9 @@
 	KeyReused Status = "KeyReused"
 	// TooOld means that the key's retention has passed, so nothing can be promised.
 	TooOld Status = "TooOld"
+	// Full means that there is no room for another intent within the retention,
+	// so the request must not be sent.
+	Full Status = "Full"
 )
 
 // Decision is the answer to an intent.
--- /dev/null
+++ b/quorum/quorum.go
@@ -0,0 +1,233 @@
+// Package quorum is the replicated log of the control instances as a pure
+// function: a state and an event give the next state and the actions that the
+// executor performs. It neither reads a clock nor touches a disk or a socket.
+// It knows nothing of what the commands in the log mean.
+package quorum
+
+import (
+	"time"
+
+	"balsamwinch.example/peer"
+)
+
+// ID is the opaque identity of a voter or learner. A disk that was lost comes
+// back under another ID.
+type ID string
+
+// Config is what a voter is started with.
+type Config struct {
+	Self      ID
+	Election  time.Duration // Election is the base timeout; each wait is random in [Election, 2*Election).
+	Heartbeat time.Duration // Heartbeat is the time between two heartbeats of a leader.
+	Seed      uint64        // Seed starts the random waits.
+	MaxBatch  int           // MaxBatch bounds the entries in one message; 64 if zero.
+	Boot      uint64        // Boot counts the starts from this disk, from 1; it is synced before New.
+}
+
+// EntryType says what an entry of the log is for.
+type EntryType uint8
+
+// The types of entries. Only EntryCommand carries a command of the executor.
+const (
+	EntryCommand EntryType = iota
+	EntryVoters
+	EntryNoop
+)
+
+// Entry is one entry of the replicated log. The first index is 1.
+type Entry struct {
+	Index, Term uint64
+	Type        EntryType
+	Data        []byte
+}
+
+// HardState must be durable before any message that depends on it is sent.
+type HardState struct {
+	Term uint64
+	Vote ID // Vote is the candidate voted for in the term, "" for none, or RefusedVote.
+}
+
+// RefusedVote is the vote that stands on a disk which was refused as an older
+// copy. No voter may have this ID.
+const RefusedVote ID = "(refused disk)"
+
+// Stored is what the executor recovered from its disk. At the first start of
+// all, SnapshotVoters names the first voters and the rest is zero.
+type Stored struct {
+	Hard                        HardState
+	SnapshotIndex, SnapshotTerm uint64
+	SnapshotVoters              VoterSet
+	Entries                     []Entry // Entries are those after SnapshotIndex, in order.
+}
+
+// Role is a state of the chart in voter.yaml.
+type Role string
+
+// The roles. Uncleared is a member that has started and may neither vote nor
+// acknowledge before a majority has cleared its disk.
+const (
+	Uncleared    Role = "Uncleared"
+	Follower     Role = "Follower"
+	PreCandidate Role = "PreCandidate"
+	Candidate    Role = "Candidate"
+	Leader       Role = "Leader"
+	Learner      Role = "Learner"
+	Outsider     Role = "Outsider"
+)
+
+// Event is what happened to a voter.
+type Event interface{ isEvent() }
+
+// Tick says how late it is. Ticks should come several times a heartbeat.
+type Tick struct{ Now time.Time }
+
+// Received is a message from another voter or learner.
+type Received struct {
+	Now     time.Time
+	From    ID
+	Message peer.Message
+}
+
+// Propose asks the leader to append a command, whose data must not be changed
+// afterwards. Appended or Refused answers with the same tag.
+type Propose struct {
+	Now  time.Time
+	Tag  uint64
+	Data []byte
+}
+
+// ChangeVoters asks the leader to add a newcomer or to remove a member; exactly
+// one of the two is set. Appended or Refused answers with the same tag. A
+// newcomer starts as a learner and is promoted by the leader once it has caught
+// up.
+type ChangeVoters struct {
+	Now         time.Time
+	Tag         uint64
+	Add, Remove ID
+}
+
+// Compacted says that the executor holds a durable snapshot up to Index, so that
+// the entries up to it are no longer needed.
+type Compacted struct{ Index uint64 }
+
+// SnapshotReady answers NeedSnapshot with the newest durable snapshot.
+type SnapshotReady struct {
+	Now         time.Time
+	To          ID
+	Index, Term uint64
+	Voters      VoterSet
+	Data        []byte
+}
+
+// Resign says that the process is about to stop. A leader hands over to a voter
+// that has caught up; the voter never stands for election again.
+type Resign struct{ Now time.Time }
+
+func (Tick) isEvent()          {}
+func (Received) isEvent()      {}
+func (Propose) isEvent()       {}
+func (ChangeVoters) isEvent()  {}
+func (Compacted) isEvent()     {}
+func (SnapshotReady) isEvent() {}
+func (Resign) isEvent()        {}
+
+// Action is what the executor has to do. Actions are performed in order, and a
+// Save or Restore is durable before any later action is begun.
+type Action interface{ isAction() }
+
+// Save writes to the journal: first entries from TruncateFrom on are removed
+// unless it is zero, then Entries are appended, and Hard replaces the hard state
+// unless it is nil.
+type Save struct {
+	Hard         *HardState
+	TruncateFrom uint64
+	Entries      []Entry
+}
+
+// Send sends a message; it may be lost, doubled or overtaken.
+type Send struct {
+	To      ID
+	Message peer.Message
+}
+
+// Apply gives committed entries of every type, in order and each once between
+// two starts.
+type Apply struct{ Entries []Entry }
+
+// Appended says where the leader appended a proposal. It is committed once Apply
+// gives an entry with this index and term; another term at the index says that
+// the proposal was lost.
+type Appended struct{ Tag, Index, Term uint64 }
+
+// Refused says that a proposal was not appended.
+type Refused struct {
+	Tag    uint64
+	Leader ID // Leader is the leader if one is known.
+	Reason Reason
+}
+
+// NeedSnapshot asks for a SnapshotReady for a member that lags behind the log.
+type NeedSnapshot struct{ To ID }
+
+// Restore replaces the durable snapshot, the log and the state machine.
+type Restore struct {
+	Index, Term uint64
+	Voters      VoterSet
+	Data        []byte
+}
+
+// RoleChanged says that the role, the term or the known leader changed. Reason
+// is set when a voter was refused or removed.
+type RoleChanged struct {
+	Role   Role
+	Term   uint64
+	Leader ID
+	Reason string
+}
+
+func (Save) isAction()         {}
+func (Send) isAction()         {}
+func (Apply) isAction()        {}
+func (Appended) isAction()     {}
+func (Refused) isAction()      {}
+func (NeedSnapshot) isAction() {}
+func (Restore) isAction()      {}
+func (RoleChanged) isAction()  {}
+
+// Reason says why a proposal was refused.
+type Reason uint8
+
+// The reasons of Refused.
+const (
+	ReasonNotLeader     Reason = iota + 1 // The voter does not lead.
+	ReasonResigning                       // The leader is about to hand over.
+	ReasonChangePending                   // Another voter change is not committed yet.
+	ReasonTermNotOpen                     // The leader has not yet committed an entry of its term.
+	ReasonAlreadyMember                   // The newcomer is a voter or learner already.
+	ReasonNotMember                       // The member to remove is neither voter nor learner.
+	ReasonIsLeader                        // The leader can't be removed; Resign makes it hand over first.
+	ReasonBadChange                       // Not exactly one of Add and Remove is set.
+)
+
+// String returns the reason in a few words.
+func (re Reason) String() string {
+	switch re {
+	case ReasonNotLeader:
+		return "not the leader"
+	case ReasonResigning:
+		return "the leader is handing over"
+	case ReasonChangePending:
+		return "another voter change is pending"
+	case ReasonTermNotOpen:
+		return "the leader has not committed an entry of its term yet"
+	case ReasonAlreadyMember:
+		return "already a member"
+	case ReasonNotMember:
+		return "not a member"
+	case ReasonIsLeader:
+		return "the leader can't be removed, it has to resign first"
+	case ReasonBadChange:
+		return "exactly one of add and remove must be named"
+	}
+	return "unknown reason"
+}
--- /dev/null
+++ b/quorum/step.go
@@ -0,0 +1,149 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+
+	"balsamwinch.example/peer"
+)
+
+// step is the working copy of a state during one event.
+type step struct {
+	State
+	now     time.Time
+	durable HardState // durable is the hard state that is saved or in a Save.
+	reason  string    // reason goes into RoleChanged.
+	actions []Action
+}
+
+// newStep copies what a step may write in place; all else is replaced whole.
+func newStep(st State, now time.Time) *step {
+	st.seen = slices.Clone(st.seen)
+	st.members = slices.Clone(st.members)
+	return &step{State: st, now: now, durable: st.hard}
+}
+
+// Step returns the state after an event and the actions to perform. It is pure.
+// The executor publishes the new state before it performs the actions, because
+// a leader that hands over has no lease from then on.
+func Step(st State, ev Event) (State, []Action) {
+	sp := newStep(st, time0)
+	switch ev := ev.(type) {
+	case Tick:
+		sp.now = ev.Now
+		sp.tick()
+	case Received:
+		sp.now = ev.Now
+		sp.receive(ev.From, ev.Message)
+	case Propose:
+		sp.now = ev.Now
+		sp.propose(ev)
+	case ChangeVoters:
+		sp.now = ev.Now
+		sp.changeVoters(ev)
+	case Compacted:
+		sp.compact(ev.Index)
+	case SnapshotReady:
+		sp.now = ev.Now
+		sp.sendSnapshot(ev)
+	case Resign:
+		sp.now = ev.Now
+		sp.resign()
+	}
+	sp.finish(st)
+	return sp.State, sp.actions
+}
+
+func (sp *step) tick() {
+	switch sp.role {
+	case Uncleared:
+		sp.tickUncleared()
+	case Follower, PreCandidate, Candidate:
+		if !sp.now.Before(sp.electionAt) {
+			sp.campaign()
+		}
+	case Leader:
+		sp.tickLeader()
+	}
+}
+
+func (sp *step) receive(from ID, ms peer.Message) {
+	if sp.refusal != "" {
+		return
+	}
+	switch ms := ms.(type) {
+	case Hello:
+		sp.onHello(from, ms)
+	case HelloReply:
+		sp.onHelloReply(from, ms)
+	case VoteRequest:
+		if sp.admit(from, ms.Header) {
+			sp.onVoteRequest(from, ms)
+		}
+	case VoteReply:
+		if sp.admit(from, ms.Header) {
+			sp.onVoteReply(from, ms)
+		}
+	case Append:
+		if sp.admitLeader(from, ms.Header) {
+			sp.onAppend(from, ms)
+		}
+	case AppendReply:
+		if sp.admit(from, ms.Header) {
+			sp.onAppendReply(from, ms)
+		}
+	case Snapshot:
+		if sp.admitLeader(from, ms.Header) {
+			sp.onSnapshot(from, ms)
+		}
+	case HandOver:
+		if sp.admit(from, ms.Header) {
+			sp.onHandOver(from, ms)
+		}
+	}
+}
+
+func (sp *step) act(ac Action) {
+	sp.actions = append(sp.actions, ac)
+}
+
+// save emits a Save of entries together with the hard state if that changed.
+func (sp *step) save(sv Save) {
+	if sp.hard != sp.durable {
+		hs := sp.hard
+		sv.Hard = &hs
+		sp.durable = sp.hard
+	}
+	sp.act(sv)
+}
+
+// saveHard emits a Save if the hard state changed. It runs before each message:
+// a voter that sent its vote, crashed and came back without it could vote for
+// another candidate in the same term, and two would lead.
+func (sp *step) saveHard() {
+	if sp.hard != sp.durable {
+		sp.save(Save{})
+	}
+}
+
+func (sp *step) send(to ID, ms peer.Message) {
+	sp.saveHard()
+	sp.act(Send{To: to, Message: ms})
+}
+
+func (sp *step) header() Header {
+	return Header{Boot: sp.cf.Boot, Start: sp.start, Term: sp.hard.Term}
+}
+
+func (sp *step) finish(before State) {
+	sp.saveHard()
+	same := sp.role == before.role && sp.hard.Term == before.hard.Term && sp.leader == before.leader
+	if same && sp.reason == "" {
+		return
+	}
+	sp.act(RoleChanged{Role: sp.role, Term: sp.hard.Term, Leader: sp.leader, Reason: sp.reason})
+}
+
+func (sp *step) refuseProposal(tag uint64, re Reason) {
+	sp.act(Refused{Tag: tag, Leader: sp.leader, Reason: re})
+}
--- a/view/view.go
+++ b/view/view.go
@@ -31,8 +31,11 @@
 	Instances     []Instance       // Instances are those believed alive, self included.
 	Servers       []backend.Record // Servers are those announced and not expired, sorted by name.
 	LeaseUntil    time.Time        // LeaseUntil is when this instance must stop serving.
-	Draining      bool             // Draining says that this instance is stopping.
-	Sequence      uint64           // Sequence rises with each published view.
+	// Entries is by how many entry instances the connection limits of backend
+	// servers are divided, as control last granted; 0 means Limits.MaxEntries.
+	Entries  int
+	Draining bool   // Draining says that this instance is stopping.
+	Sequence uint64 // Sequence rises with each published view.
 }
 
 // Leased reports whether the instance may serve at the given time.
@@ -40,6 +43,15 @@
 	return now.Before(vi.LeaseUntil)
 }
 
+// Divisor returns by how many entry instances this one must divide the
+// connection limit of a backend server.
+func (vi *View) Divisor() int {
+	if vi.Entries > 0 {
+		return vi.Entries
+	}
+	return vi.Configuration.Limits.MaxEntries
+}
+
 // Cell holds the newest view. The zero Cell holds an empty view.
 type Cell struct {
 	pt atomic.Pointer[View]
