balsamwinch: scenarios of failures with real processes

Change: testscript scenarios beside the command; cuts are made by a forwarding fake before each control instance's peer address. Found on the way: audit entries lost their file hashes on the way to operators, so balsamctl audit refused a sound chain ("After: want , got cf8f25..."); the conversion now carries all fields.

--- a/backend/client.go
+++ b/backend/client.go
@@ -21,7 +21,8 @@
 	Incarnation uint64
 	Connections int // Connections is this instance's share of the connection limit.
 	// SilentAfter is how long a connection may make no progress while a request
-	// waits before it is abandoned; 0 takes the client's setting.
+	// waits before it is abandoned; 0 takes the client's setting. It should be well
+	// above the slowest healthy reply: a false alarm costs the idle connections.
 	SilentAfter time.Duration
 }
 
--- a/cmd/balsamwinch/script_test.go
+++ b/cmd/balsamwinch/script_test.go
@@ -21,6 +21,8 @@
 
 	"balsamwinch.example/caller"
 	"balsamwinch.example/keys"
+	"balsamwinch.example/operator"
+	"balsamwinch.example/result"
 )
 
 // patience bounds every wait for a condition. It is no timing bound: a scenario
@@ -31,7 +33,7 @@
 var programs string
 
 func TestMain(m *testing.M) {
-	testscript.Main(builder{m}, map[string]func(){"query": queryMain})
+	testscript.Main(builder{m}, map[string]func(){"query": queryMain, "direct": directMain})
 }
 
 // builder builds the real programs before the scripts run. The test binary also
@@ -53,6 +55,8 @@
 			return 1
 		}
 	}
+	os.Setenv("BALSAMCTL_AUTHOR", "ana")
+	os.Setenv("PATH", dir+string(os.PathListSeparator)+os.Getenv("PATH"))
 	return bu.m.Run()
 }
 
@@ -70,6 +74,8 @@
 			"cut":       cmdCut,
 			"heal":      cmdHeal,
 			"post":      cmdPost,
+			"get":       cmdGet,
+			"changes":   cmdChanges,
 			"flood":     cmdFlood,
 			"floodends": cmdFloodEnds,
 		},
@@ -103,7 +109,7 @@
 	}
 	env.Values[worldKey{}] = wo
 	env.Vars = append(env.Vars,
-		"PATH="+programs+string(os.PathListSeparator)+os.Getenv("PATH"),
+		"PATH="+os.Getenv("PATH"),
 		"BALSAMCTL_AUTHOR=ana",
 	)
 	env.Defer(func() {
@@ -289,7 +295,7 @@
 	ts.Check(err)
 	var out []byte
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
-		cmd := exec.Command(lookUp(args[1]), args[2:]...)
+		cmd := exec.Command(args[1], args[2:]...)
 		cmd.Dir = worldOf(ts).dir
 		out, _ = cmd.CombinedOutput()
 		if re.Match(out) != neg {
@@ -300,18 +306,6 @@
 	ts.Fatalf("no match of %s in\n%s", args[0], out)
 }
 
-func lookUp(name string) string {
-	own := filepath.Join(programs, name)
-	if _, err := os.Stat(own); err == nil {
-		return own
-	}
-	path, err := exec.LookPath(name)
-	if err != nil {
-		return name
-	}
-	return path
-}
-
 // cmdCut cuts instances off from control: cut NAME FROM... drops all packets
 // between NAME and the peer addresses of the control instances FROM.
 func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
@@ -331,18 +325,60 @@
 	}
 }
 
-// cmdPost sends a body: post ADDRESS PATH BODY.
+// cmdPost sends a body: post ADDRESS PATH BODY, where @FILE names a file.
 func cmdPost(ts *testscript.TestScript, _ bool, args []string) {
-	rs, err := http.Post("http://"+args[0]+args[1], "application/json", strings.NewReader(args[2]))
+	body := args[2]
+	if name, ok := strings.CutPrefix(body, "@"); ok {
+		body = ts.ReadFile(name)
+	}
+	rs, err := http.Post("http://"+args[0]+args[1], "application/json", strings.NewReader(body))
 	ts.Check(err)
 	defer rs.Body.Close()
-	body, _ := io.ReadAll(rs.Body)
-	fmt.Fprintf(ts.Stdout(), "%s", body)
+	got, _ := io.ReadAll(rs.Body)
+	fmt.Fprintf(ts.Stdout(), "%s", got)
 	if rs.StatusCode >= 300 {
 		ts.Fatalf("post %s: %s", args[1], rs.Status)
 	}
 }
 
+// cmdGet prints what an address gives: get ADDRESS PATH.
+func cmdGet(ts *testscript.TestScript, _ bool, args []string) {
+	rs, err := http.Get("http://" + args[0] + args[1])
+	ts.Check(err)
+	defer rs.Body.Close()
+	got, err := io.ReadAll(rs.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "%s", got)
+}
+
+// cmdChanges makes changes of the file 50-change.yaml one after another, each in
+// force before the next: changes OPERATORS COUNT.
+func cmdChanges(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	cl := operator.NewClient(strings.Split(args[0], ","))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	known, err := cl.Files(ctx)
+	ts.Check(err)
+	base := uint64(0)
+	for range count {
+		next := known.Revision + 1
+		rp, err := cl.ChangeInForce(ctx, operator.ChangeRequest{
+			ChangeID: fmt.Sprintf("change-%d", next),
+			Author:   "ana",
+			Files: []operator.FileChange{{
+				Name: "50-change.yaml", Base: base, Content: fmt.Appendf(nil, "Services:\n  archivo:\n    Weight: %d\n", next),
+			}},
+		})
+		ts.Check(err)
+		if rp.Code != result.Accepted {
+			ts.Fatalf("change %d: %+v", next, rp)
+		}
+		known.Revision, base = rp.Revision, rp.Revision
+	}
+}
+
 // queryMain is the command query: query ADDRESSES SERVICE [BODY]. It asks the
 // first of the comma separated addresses that answers for the address list, and
 // sends the query to the first instance of that.
@@ -384,11 +420,27 @@
 	if len(ad.Addresses) == 0 {
 		return "", fmt.Errorf("%s: empty address list", address)
 	}
-	rq, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+ad.Addresses[0]+"/services/"+service+"/query", strings.NewReader(body))
+	return queryAt(ad.Addresses[0], service, body)
+}
+
+// directMain is the command direct: direct ADDRESS SERVICE [BODY]. It sends a
+// query without asking for the address list.
+func directMain() {
+	body := `{"Query":{}}`
+	if len(os.Args) > 3 {
+		body = os.Args[3]
+	}
+	out, err := queryAt(os.Args[1], os.Args[2], body)
 	if err != nil {
-		return "", err
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
 	}
-	an, err := hc.Do(rq)
+	fmt.Println(out)
+}
+
+func queryAt(address, service, body string) (string, error) {
+	hc := &http.Client{Timeout: patience}
+	an, err := hc.Post("http://"+address+"/services/"+service+"/query", "application/json", strings.NewReader(body))
 	if err != nil {
 		return "", err
 	}
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -222,7 +222,7 @@
 		Revision: en.Revision, Detail: en.Detail, Previous: en.Previous, Hash: en.Hash,
 	}
 	for _, fi := range en.Files {
-		oe.Files = append(oe.Files, operator.AuditFile{Name: fi.Name, Before: fi.Before, After: fi.After})
+		oe.Files = append(oe.Files, operator.AuditFile(fi))
 	}
 	return oe
 }
--- a/leaf/config.go
+++ b/leaf/config.go
@@ -45,7 +45,7 @@
 	StopLag    time.Duration // StopLag is how long a cancelled or timed-out request goes on.
 	DrainFor   time.Duration // DrainFor is how long the Leaf goes on, draining, when it is told to end.
 	DrainLimit time.Duration // DrainLimit bounds the wait for requests that were taken on; default 30 s.
-	LoadLag    time.Duration // LoadLag is the age of the health and load that are reported.
+	LoadLag    time.Duration // LoadLag is how old the reported health and load get.
 
 	Repeat      time.Duration // Repeat is the period of announcements until an instance says another; default 1 s.
 	TTL         time.Duration // TTL is how long an announcement holds; default 5 s.
--- a/leaf/leaf.go
+++ b/leaf/leaf.go
@@ -36,8 +36,8 @@
 	an      *announcer
 	faults  atomic.Pointer[setFaults]
 	last    atomic.Pointer[string] // last is the id of the request before, for Crossed.
-	load    atomic.Pointer[backend.Load]
-	ended   chan struct{} // ended is closed by Close.
+	sampled atomic.Pointer[report] // sampled is nil without LoadLag.
+	ended   chan struct{}          // ended is closed by Close.
 	endOnce sync.Once
 
 	mu       sync.Mutex
@@ -190,7 +190,7 @@
 	defer wg.Wait()
 	defer stop()
 	defer le.Close()
-	for _, part := range []func(context.Context){le.an.run, le.publishPeriodically, le.warmUp, le.sampleLoad} {
+	for _, part := range []func(context.Context){le.an.run, le.publishPeriodically, le.warmUp, le.sampleReports} {
 		wg.Go(func() { part(run) })
 	}
 	failed := make(chan error, 2)
--- a/leaf/leaf_test.go
+++ b/leaf/leaf_test.go
@@ -265,6 +265,24 @@
 	})
 }
 
+// Health and load are as old as LoadLag, and untrue with Lie.
+func TestReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ri := newRig(t, Config{LoadLag: 500 * time.Millisecond, Latency: Latency{Median: 900 * time.Millisecond}})
+		synctest.Wait()
+		done := make(chan string)
+		go func() { done <- ri.do(time.Minute, request("")) }()
+		time.Sleep(400 * time.Millisecond)
+		c.Check(ri.reported().load.Running, qt.Equals, 0)
+		time.Sleep(200 * time.Millisecond)
+		c.Check(ri.reported().load.Running, qt.Equals, 1)
+		ri.SetFaults(Faults{Lie: true})
+		c.Check(ri.reported().load.Running, qt.Equals, 0)
+		<-done
+	})
+}
+
 func TestColdStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/leaf/query.go
+++ b/leaf/query.go
@@ -218,38 +218,52 @@
 }
 
 func (le *Leaf) serveHealth(rw http.ResponseWriter, _ *http.Request) {
-	he := backend.Health{Server: le.cf.Server, State: le.Record().State}
-	if le.Faults().Lie {
-		he.State = backend.Serving
-	}
-	writeJSON(rw, he)
+	writeJSON(rw, le.reported().health)
 }
 
 func (le *Leaf) serveLoad(rw http.ResponseWriter, _ *http.Request) {
-	lo := le.currentLoad()
-	if sa := le.load.Load(); sa != nil && le.cf.LoadLag > 0 {
-		lo = *sa
-	}
-	if le.Faults().Lie {
-		lo.Running, lo.Connections = 0, 0
+	writeJSON(rw, le.reported().load)
+}
+
+// report is what a Leaf says of its health and load.
+type report struct {
+	health backend.Health
+	load   backend.Load
+}
+
+func (le *Leaf) currentReport() report {
+	return report{
+		health: backend.Health{Server: le.cf.Server, State: le.Record().State},
+		load: backend.Load{
+			Server: le.cf.Server, Running: le.wo.running(), Slots: le.cf.Slots, Connections: le.Counts().Connections,
+		},
 	}
-	writeJSON(rw, lo)
 }
 
-func (le *Leaf) currentLoad() backend.Load {
-	return backend.Load{Server: le.cf.Server, Running: le.wo.running(), Slots: le.cf.Slots, Connections: le.Counts().Connections}
+// reported returns a report of the past with LoadLag, and one that was never
+// true with Lie.
+func (le *Leaf) reported() report {
+	re := le.currentReport()
+	if sa := le.sampled.Load(); sa != nil {
+		re = *sa
+	}
+	if le.Faults().Lie {
+		re.health.State = backend.Serving
+		re.load.Running, re.load.Connections = 0, 0
+	}
+	return re
 }
 
-// sampleLoad takes the load that is reported for the time of LoadLag.
-func (le *Leaf) sampleLoad(ctx context.Context) {
+// sampleReports takes the report that is given out for the time of LoadLag.
+func (le *Leaf) sampleReports(ctx context.Context) {
 	if le.cf.LoadLag <= 0 {
 		return
 	}
 	su := le.ts.Subscribe(le.cf.LoadLag)
 	defer su.Stop()
 	for {
-		lo := le.currentLoad()
-		le.load.Store(&lo)
+		re := le.currentReport()
+		le.sampled.Store(&re)
 		select {
 		case <-su.C:
 		case <-ctx.Done():
