balsamwinch: bookings under kills run once

Cause: at most once must hold while the instances that record intents are killed. Local tiers can kill and start instances for experiments.

--- a/caller/server.go
+++ b/caller/server.go
@@ -90,6 +90,7 @@
 		Service:    service,
 		Repeatable: qu.Repeatable == nil || *qu.Repeatable,
 		Key:        qu.Key,
+		Resend:     qu.Resend,
 		Policy:     qu.Policy,
 		Shards:     qu.Shards,
 		Body:       qu.Query,
--- a/cmd/balsamctl/apply.go
+++ b/cmd/balsamctl/apply.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -41,106 +42,144 @@
 	do: apply,
 }
 
-// applied is the JSON form of what apply did.
+// applied is the JSON form of one change that apply sent.
 type applied struct {
-	ChangeID string `json:",omitempty"` // ChangeID is empty if nothing was to change.
-	Code     result.Code
-	Name     string // Name is the name of Code.
-	Revision uint64
-	Files    []string
+	ChangeID   string
+	Code       result.Code
+	Name       string // Name is the name of Code.
+	Revision   uint64
+	Files      []string
+	WaitingFor []string `json:",omitempty"`
+}
+
+// applier sends changes of one folder.
+type applier struct {
+	cl   *operator.Client
+	dir  string
+	wait bool
+	seen seen
+	done []applied // done are the changes that were made.
 }
 
 func apply(ctx context.Context, in *invocation) error {
-	dir := in.args[0]
-	files, _, err := loadFolder(dir)
+	files, _, err := loadFolder(in.args[0])
 	if err != nil {
 		return err
 	}
-	se, err := loadSeen(dir)
+	ap, err := newApplier(in)
 	if err != nil {
 		return err
 	}
+	err = ap.run(ctx, in, files)
+	if len(ap.done) == 0 && err != nil {
+		return err
+	}
+	return cmp.Or(in.printApplied(ap.done), err)
+}
+
+func newApplier(in *invocation) (*applier, error) {
 	cl, err := in.client()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if in.author == "" {
-		return &usageError{"no author: give -author or set " + envAuthor}
+		return nil, &usageError{"no author: give -author or set " + envAuthor}
 	}
+	se, err := loadSeen(in.args[0])
 	if in.forget {
 		se = se.withUnanswered(nil)
 	}
-	if se.Unanswered != nil {
-		if se, err = send(ctx, in, cl, dir, se, *se.Unanswered); err != nil {
+	return &applier{cl: cl, dir: in.args[0], wait: in.wait, seen: se}, err
+}
+
+func (ap *applier) run(ctx context.Context, in *invocation, files []operator.File) error {
+	if un := ap.seen.Unanswered; un != nil {
+		if err := ap.send(ctx, *un); err != nil {
 			return err
 		}
 	}
-	chs := se.changes(files)
+	chs := ap.seen.changes(files)
 	if len(chs) == 0 {
-		return in.print(applied{Code: result.Accepted, Name: result.Accepted.String()}, func(wr io.Writer) {
-			fmt.Fprintln(wr, "nothing to change")
-		})
+		return nil
 	}
 	cr := operator.ChangeRequest{ChangeID: in.changeID, Author: in.author, Files: chs}
 	if cr.ChangeID == "" {
 		cr.ChangeID = rand.Text()
 	}
-	_, err = send(ctx, in, cl, dir, se, cr)
-	return err
+	return ap.send(ctx, cr)
+}
+
+func (in *invocation) printApplied(done []applied) error {
+	return in.print(done, func(wr io.Writer) {
+		if len(done) == 0 {
+			fmt.Fprintln(wr, "nothing to change")
+		}
+		for _, ap := range done {
+			fmt.Fprintf(wr, "%s: revision %d, change %s, files %s\n", ap.Name, ap.Revision, ap.ChangeID, strings.Join(ap.Files, ", "))
+		}
+	})
 }
 
 // send sends a change and records in the folder what became of it.
-func send(ctx context.Context, in *invocation, cl *operator.Client, dir string, se seen, cr operator.ChangeRequest) (seen, error) {
-	if err := se.withUnanswered(&cr).save(dir); err != nil {
-		return se, err
+func (ap *applier) send(ctx context.Context, cr operator.ChangeRequest) error {
+	if err := ap.save(ap.seen.withUnanswered(&cr)); err != nil {
+		return err
 	}
-	ask := cl.Change
-	if in.wait {
-		ask = cl.ChangeInForce
+	ask := ap.cl.Change
+	if ap.wait {
+		ask = ap.cl.ChangeInForce
 	}
 	re, err := ask(ctx, cr)
-	if err != nil {
-		if re := (*result.Error)(nil); errors.As(err, &re) && re.Code == result.NotRunBadRequest {
-			return se, errors.Join(err, se.withUnanswered(nil).save(dir))
-		}
-		return se, fmt.Errorf("change %s: outcome unknown, apply again to ask: %w", cr.ChangeID, err)
+	if err == nil {
+		return ap.record(cr, re)
+	}
+	if re := (*result.Error)(nil); errors.As(err, &re) && re.Code == result.NotRunBadRequest {
+		return errors.Join(err, ap.save(ap.seen.withUnanswered(nil)))
 	}
-	return record(in, dir, se, cr, re)
+	return fmt.Errorf("change %s: outcome unknown, apply again to ask: %w", cr.ChangeID, err)
 }
 
-func record(in *invocation, dir string, se seen, cr operator.ChangeRequest, re operator.ChangeReply) (seen, error) {
-	made := re.Code == result.Accepted || re.Code == result.Pending
-	if made {
-		se = se.withChange(cr, re.Revision)
-	}
-	if err := se.withUnanswered(nil).save(dir); err != nil {
-		return se, err
+func (ap *applier) save(se seen) error {
+	ap.seen = se
+	return se.save(ap.dir)
+}
+
+func (ap *applier) record(cr operator.ChangeRequest, re operator.ChangeReply) error {
+	if re.Code != result.Accepted && re.Code != result.Pending {
+		return errors.Join(refused(cr, re), ap.save(ap.seen.withUnanswered(nil)))
 	}
-	if !made {
-		return se, refused(cr, re)
+	if err := ap.save(ap.seen.withChange(cr, re.Revision)); err != nil {
+		return err
 	}
-	ap := applied{ChangeID: cr.ChangeID, Code: re.Code, Name: re.Code.String(), Revision: re.Revision}
+	do := applied{ChangeID: cr.ChangeID, Code: re.Code, Name: re.Code.String(), Revision: re.Revision, WaitingFor: re.WaitingFor}
 	for _, ch := range cr.Files {
-		ap.Files = append(ap.Files, ch.Name)
+		do.Files = append(do.Files, ch.Name)
 	}
-	err := in.print(ap, func(wr io.Writer) {
-		fmt.Fprintf(wr, "%s: revision %d, change %s, files %s\n", ap.Name, ap.Revision, ap.ChangeID, strings.Join(ap.Files, ", "))
-	})
-	if err == nil && re.Code == result.Pending {
-		err = &result.Error{Code: re.Code, Op: "change " + cr.ChangeID, Detail: "waiting for " + strings.Join(re.WaitingFor, ", ")}
+	ap.done = append(ap.done, do)
+	if re.Code == result.Pending {
+		return &result.Error{Code: re.Code, Op: "change " + cr.ChangeID, Detail: "waiting for " + strings.Join(re.WaitingFor, ", ") + "; balsamctl members shows the revisions in force"}
 	}
-	return se, err
+	return nil
 }
 
 func refused(cr operator.ChangeRequest, re operator.ChangeReply) error {
 	er := &result.Error{Code: re.Code, Op: "change " + cr.ChangeID}
-	if co := re.Conflict; co != nil && co.File == "" {
-		er.Detail = fmt.Sprintf("%s used this change id for another change; nothing was changed", co.Author)
-	} else if co != nil {
-		er.Detail = fmt.Sprintf("%s was changed by %s in change %s at revision %d; nothing was changed; pull first", co.File, co.Author, co.ChangeID, co.Revision)
+	if re.Conflict != nil {
+		er.Detail = describe(*re.Conflict) + "; nothing was changed"
 	}
 	if len(re.Faults) > 0 {
 		er.Err = settings.Faults(re.Faults)
 	}
 	return er
 }
+
+func describe(co operator.Conflict) string {
+	switch {
+	case co.File == "":
+		return co.Author + " used this change id for another change"
+	case co.Author == "":
+		return co.File + " is not on the tier as it was when pulled; pull first"
+	default:
+		return fmt.Sprintf("%s was changed by %s in change %s at revision %d; pull first", co.File, co.Author, co.ChangeID, co.Revision)
+	}
+}
--- a/cmd/balsamctl/audit.go
+++ b/cmd/balsamctl/audit.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -30,6 +31,12 @@
 	do: audit,
 }
 
+// audited is the JSON form of the audit trail.
+type audited struct {
+	Entries []operator.AuditEntry
+	Sound   bool // Sound says that the chain of hashes holds.
+}
+
 func audit(ctx context.Context, in *invocation) error {
 	cl, err := in.client()
 	if err != nil {
@@ -39,20 +46,17 @@
 	if err != nil {
 		return err
 	}
-	if err := in.print(re, func(wr io.Writer) {
+	broken := control.Verify(chain(re.Entries))
+	rp := audited{Entries: re.Entries, Sound: broken == nil}
+	err = in.print(rp, func(wr io.Writer) {
 		for _, en := range re.Entries {
 			printEntry(wr, en, in.content)
 		}
-	}); err != nil {
-		return err
-	}
-	if err := control.Verify(chain(re.Entries)); err != nil {
-		return err
-	}
-	if !in.json {
-		fmt.Fprintf(in.out, "%d entries, chain verified, last hash %s\n", len(re.Entries), lastHash(re.Entries))
-	}
-	return nil
+		if rp.Sound {
+			fmt.Fprintf(wr, "%d entries, chain verified, last hash %s\n", len(re.Entries), lastHash(re.Entries))
+		}
+	})
+	return cmp.Or(broken, err)
 }
 
 // lastHash is what an operator notes or compares with other control instances:
--- a/cmd/balsamctl/run.go
+++ b/cmd/balsamctl/run.go
@@ -80,8 +80,9 @@
 // invocation is one call of a subcommand.
 type invocation struct {
 	options
-	args []string
-	out  io.Writer
+	args    []string
+	out     io.Writer
+	printed bool // printed says that the result is out; a program gets one JSON value.
 }
 
 func commands() []command {
@@ -186,7 +187,7 @@
 		return exitDone
 	}
 	co, de := classify(err)
-	if in.json {
+	if in.json && !in.printed {
 		_ = in.printJSON(de)
 	}
 	printError(errOut, err, de.Faults)
@@ -248,6 +249,7 @@
 }
 
 func (in *invocation) printJSON(va any) error {
+	in.printed = true
 	en := json.NewEncoder(in.out)
 	en.SetIndent("", "  ")
 	return en.Encode(va)
--- a/cmd/balsamload/local.go
+++ b/cmd/balsamload/local.go
@@ -47,13 +47,11 @@
 // OperatorAddresses returns the addresses for operators.
 func (li *localInstances) OperatorAddresses() []string { return li.lo.Addresses("Operator") }
 
-var errNoKill = errors.New("instances in this process can't be killed; run them elsewhere")
+// Kill ends an instance without a word to the others.
+func (li *localInstances) Kill(_ context.Context, ix int) error { return li.lo.Kill(ix) }
 
-// Kill fails.
-func (li *localInstances) Kill(context.Context, int) error { return errNoKill }
-
-// Start fails.
-func (li *localInstances) Start(context.Context, int) error { return errNoKill }
+// Start starts a killed instance again.
+func (li *localInstances) Start(_ context.Context, ix int) error { return li.lo.Start(ix) }
 
 // Close stops the instances and removes their data.
 func (li *localInstances) Close() error {
--- a/cmd/balsamwinch/script_test.go
+++ b/cmd/balsamwinch/script_test.go
@@ -14,6 +14,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,6 +79,8 @@
 			"changes":   cmdChanges,
 			"flood":     cmdFlood,
 			"floodends": cmdFloodEnds,
+			"bookings":  cmdBookings,
+			"booked":    cmdBooked,
 		},
 	})
 }
@@ -89,6 +92,10 @@
 	proxies map[string]*proxy // proxies stand before the peer addresses of control instances.
 	peers   map[string]string // peers are the real peer addresses by instance.
 	flood   *flood
+	books   *bookings
+
+	mu       sync.Mutex
+	callerOf map[string]string // callerOf holds caller addresses for callers in the background.
 }
 
 type process struct {
@@ -106,6 +113,8 @@
 		procs:   make(map[string]*process),
 		proxies: make(map[string]*proxy),
 		peers:   make(map[string]string),
+
+		callerOf: make(map[string]string),
 	}
 	env.Values[worldKey{}] = wo
 	env.Vars = append(env.Vars,
@@ -252,6 +261,9 @@
 		logs.Close()
 		close(pr.done)
 	}()
+	wo.mu.Lock()
+	wo.callerOf[name] = pr.lines["Caller"]
+	wo.mu.Unlock()
 	for key, va := range pr.lines {
 		ts.Setenv(name+"_"+key, va)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,6 +61,7 @@
 	open []listening
 	stop chan struct{}
 	once sync.Once
+	kill chan struct{}
 }
 
 // listening is one HTTP server and what it listens on.
@@ -81,6 +82,7 @@
 		ce:   &view.Cell{},
 		set:  metrics.NewSet(),
 		stop: make(chan struct{}),
+		kill: make(chan struct{}),
 	}
 	co := peer.NewCodec(quorum.Messages(), control.Messages(), member.Messages(), messages())
 	pe, err := peer.New(peer.Config{Self: cf.Name, Address: cf.Addresses.Peer, TLS: tl}, co, in.receive, ts, lg)
@@ -296,6 +298,12 @@
 	in.once.Do(func() { close(in.stop) })
 }
 
+// Kill ends the instance without a word to anyone, as far as that can be done
+// within a process. It is for trials of failures.
+func (in *Instance) Kill() {
+	close(in.kill)
+}
+
 // View returns the newest view.
 func (in *Instance) View() *view.View {
 	return in.ce.Load()
@@ -310,15 +318,25 @@
 	select {
 	case err := <-done:
 		return errors.Join(err, in.close())
+	case <-in.kill:
 	case <-ctx.Done():
+		in.drain()
 	case <-in.stop:
+		in.drain()
 	}
-	in.drain()
 	cancel()
+	in.cutOff()
 	<-done
 	return in.close()
 }
 
+// cutOff ends the HTTP servers at once. After a drain they are down already.
+func (in *Instance) cutOff() {
+	for _, li := range in.open {
+		_ = li.sv.Close()
+	}
+}
+
 // supervise starts all parts under one supervisor.
 func (in *Instance) supervise(ctx context.Context) <-chan error {
 	su := suture.New(in.cf.Name, suture.Spec{EventHook: in.supervised})
--- a/instance/local.go
+++ b/instance/local.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"path/filepath"
-	"sync"
 
 	"go.uber.org/zap"
 
@@ -35,15 +34,20 @@
 
 // Local is a running local tier.
 type Local struct {
-	ins    []*Instance
-	stop   []context.CancelFunc
-	wg     sync.WaitGroup
-	mu     sync.Mutex
-	errs   []error
+	ins    []*localInstance
 	ts     *timer.Service
+	lg     *zap.Logger
 	client *operator.Client
 }
 
+// localInstance is one instance of a local tier and what it is started from.
+type localInstance struct {
+	st   settings.Instance
+	tl   *tls.Config
+	in   *Instance
+	done chan error
+}
+
 // StartLocal starts a tier. Zero fields of Timing and Limits take their
 // defaults. The tier has no configuration until Apply.
 func StartLocal(cf LocalConfig, ts *timer.Service, lg *zap.Logger) (*Local, error) {
@@ -55,17 +59,17 @@
 	if err != nil {
 		return nil, err
 	}
-	lo := &Local{ts: ts}
+	lo := &Local{ts: ts, lg: lg}
 	for _, st := range all {
 		tl, err := issue(au, st.Name)
 		if err != nil {
 			return nil, errors.Join(err, lo.Close())
 		}
-		in, err := New(st, tl, ts, lg)
-		if err != nil {
+		li := &localInstance{st: st, tl: tl}
+		if err := li.start(ts, lg); err != nil {
 			return nil, errors.Join(err, lo.Close())
 		}
-		lo.start(in)
+		lo.ins = append(lo.ins, li)
 	}
 	lo.client = operator.NewClient(lo.Addresses("Operator"))
 	return lo, nil
@@ -134,29 +138,46 @@
 	return out, nil
 }
 
-func (lo *Local) start(in *Instance) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lo.ins = append(lo.ins, in)
-	lo.stop = append(lo.stop, cancel)
-	lo.wg.Go(func() {
-		err := in.Serve(ctx)
-		lo.mu.Lock()
-		lo.errs = append(lo.errs, err)
-		lo.mu.Unlock()
-	})
+func (li *localInstance) start(ts *timer.Service, lg *zap.Logger) error {
+	in, err := New(li.st, li.tl, ts, lg)
+	if err != nil {
+		return err
+	}
+	li.in = in
+	li.done = make(chan error, 1)
+	go func() { li.done <- in.Serve(context.Background()) }()
+	return nil
 }
 
 // Instances returns the instances in their order.
 func (lo *Local) Instances() []*Instance {
-	return lo.ins
+	var out []*Instance
+	for _, li := range lo.ins {
+		out = append(out, li.in)
+	}
+	return out
+}
+
+// Kill ends the instance of the given index without a word to the others.
+func (lo *Local) Kill(ix int) error {
+	li := lo.ins[ix]
+	li.in.Kill()
+	err := <-li.done
+	li.done <- nil
+	return err
+}
+
+// Start starts a killed instance again, from its disk if it has one.
+func (lo *Local) Start(ix int) error {
+	return lo.ins[ix].start(lo.ts, lo.lg)
 }
 
 // Addresses returns where the named listener (Caller, Backend, Operator or Peer)
 // of each instance listens.
 func (lo *Local) Addresses(name string) []string {
 	var out []string
-	for _, in := range lo.ins {
-		out = append(out, in.Address(name))
+	for _, li := range lo.ins {
+		out = append(out, li.in.Address(name))
 	}
 	return out
 }
@@ -188,8 +209,8 @@
 
 // Wait returns once cond holds for every instance, or the context's error.
 func (lo *Local) Wait(ctx context.Context, cond func(*Instance) bool) error {
-	for _, in := range lo.ins {
-		for !cond(in) {
+	for _, li := range lo.ins {
+		for !cond(li.in) {
 			if err := lo.ts.Sleep(ctx, tickPeriod); err != nil {
 				return err
 			}
@@ -200,9 +221,12 @@
 
 // Close stops all instances gracefully at a time and returns what went wrong.
 func (lo *Local) Close() error {
-	for _, stop := range lo.stop {
-		stop()
+	for _, li := range lo.ins {
+		li.in.Stop()
+	}
+	var errs []error
+	for _, li := range lo.ins {
+		errs = append(errs, <-li.done)
 	}
-	lo.wg.Wait()
-	return errors.Join(lo.errs...)
+	return errors.Join(errs...)
 }
