settings: bound leaf requests and silence, as the limits are used

Cause: QueueLength and MaxInFlight were checked and used by nothing: admission is bounded by deadlines and by leaf requests in flight, and connections by how long they stay silent. Change: Limits.LeafRequests and Timing.SilentAfter replace them and reach the admission and the connections.

--- a/control/intent_test.go
+++ b/control/intent_test.go
@@ -88,6 +88,18 @@
 	checkRoundTrip(t, ma.State)
 }
 
+// A leader's clock is two hours behind the one before. What begins under it must
+// not look two hours old, and be forgotten at once, when the clock is right again.
+func TestClockNeverGoesBack(t *testing.T) {
+	var ma machine
+	ma.change("c", "ana", FileChange{Name: "a.yaml", Content: yaml("a", 100)})
+	ma.begin("slow", "d", "", start.Add(-2*IntentRetention))
+	for i := range MaxIntents {
+		ma.apply(BeginIntent{Key: fmt.Sprint(i), Digest: "d", When: start.Add(IntentRetention / 2)})
+	}
+	qt.Check(t, ma.begin("slow", "d", "", start.Add(IntentRetention/2)).Status, qt.Equals, Running)
+}
+
 // A caller comes back a day later with a key whose intent was forgotten. A UUID
 // of version 7 tells its age, so the request is not run a second time.
 func TestOldKeyIsRefused(t *testing.T) {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -203,6 +203,15 @@
 	qt.Check(t, kinds, qt.HasLen, len(Messages()))
 }
 
+// An operator sends a file whose name isn't UTF-8, and the refusal quotes it. If
+// the snapshot could not be read back, no voter would ever start again.
+func TestRefusalOfOddBytesIsRestored(t *testing.T) {
+	var ma machine
+	oc := ma.change("one", "ana", FileChange{Name: "\xff.yaml", Content: []byte("\xff")})
+	qt.Assert(t, oc.Code, qt.Equals, result.Invalid)
+	checkRoundTrip(t, ma.State)
+}
+
 // A snapshot was changed on the way or on the disk in a way that its checksum
 // doesn't show. It must be refused, not loaded.
 func TestDamagedStateIsRefused(t *testing.T) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,12 +34,8 @@
 const (
 	headerTimeout = 10 * time.Second
 	// handOver is how long a stopping instance gives its last words to leave.
-	handOver = 200 * time.Millisecond
-	// silentAfter is how long a connection to a backend server may make no
-	// progress before a request on it is tried elsewhere, unless the request says
-	// otherwise.
-	silentAfter = 2 * time.Second
-	maxHeaders  = 16 << 10
+	handOver   = 200 * time.Millisecond
+	maxHeaders = 16 << 10
 )
 
 // Instance is one running instance.
@@ -174,11 +170,11 @@
 // serveHTTP makes the handlers and the servers of all listeners.
 func (in *Instance) serveHTTP() {
 	in.cl = backend.NewClient(in.ts, in.lg, backend.ClientConfig{
-		SilentAfter: silentAfter,
+		SilentAfter: in.cf.Timing.SilentAfter,
 		Settled:     func(sm backend.Settlement) { in.en.Settled(sm) },
 	})
 	in.ta = limit.NewTable(in.ts, limit.TableConfig{Seed: uint64(in.ts.Now().UnixNano())})
-	ad := limit.NewAdmission(in.ts, limit.AdmissionConfig{Room: in.ta.Room})
+	ad := limit.NewAdmission(in.ts, limit.AdmissionConfig{Capacity: in.cf.Limits.LeafRequests, Room: in.ta.Room})
 	nb := func(percent float64, burst int) fanout.Budget { return limit.NewBudget(percent, burst) }
 	re := &recorder{name: in.cf.Name, la: in.la}
 	in.en = fanout.New(in.cf.Name, in.ce, in.cl, in.ta, ad, nb, re, in.ts, in.lg, fanout.NewMetrics(in.set))
--- a/settings/instance.go
+++ b/settings/instance.go
@@ -77,12 +77,16 @@
 	Lease      time.Duration // Lease is how long an instance may serve after control last answered it.
 	Renewal    time.Duration // Renewal is how often an instance renews its lease.
 	DrainGrace time.Duration // DrainGrace is how long a stopping instance waits for requests in flight, after address lists ran out.
+	// SilentAfter is how long a connection to a backend server may make no progress
+	// while a request waits, unless the query's own time is shorter.
+	SilentAfter time.Duration
 }
 
 // Limits bound what an entry takes on.
 type Limits struct {
-	QueueLength int // QueueLength is how many queries may wait for admission.
-	MaxInFlight int // MaxInFlight is how many queries may run at a time.
+	// LeafRequests is how many leaf requests all admitted queries together may
+	// have in flight; it bounds memory, and services share it by their weights.
+	LeafRequests int
 }
 
 // Has reports whether the instance has the role.
@@ -92,14 +96,14 @@
 
 // The defaults of an instance's settings.
 const (
-	DefaultElection    = 500 * time.Millisecond
-	DefaultHeartbeat   = 100 * time.Millisecond
-	DefaultLease       = 5 * time.Second
-	DefaultRenewal     = time.Second
-	DefaultDrainGrace  = 10 * time.Second
-	DefaultQueueLength = 1024
-	DefaultMaxInFlight = 512
-	DefaultLogLevel    = "info"
+	DefaultElection     = 500 * time.Millisecond
+	DefaultHeartbeat    = 100 * time.Millisecond
+	DefaultLease        = 5 * time.Second
+	DefaultRenewal      = time.Second
+	DefaultDrainGrace   = 10 * time.Second
+	DefaultSilentAfter  = 2 * time.Second
+	DefaultLeafRequests = 16384
+	DefaultLogLevel     = "info"
 )
 
 // NewInstance returns the settings that hold for what a file does not name.
@@ -107,13 +111,14 @@
 	return Instance{
 		Log: Log{Level: DefaultLogLevel},
 		Timing: Timing{
-			Election:   DefaultElection,
-			Heartbeat:  DefaultHeartbeat,
-			Lease:      DefaultLease,
-			Renewal:    DefaultRenewal,
-			DrainGrace: DefaultDrainGrace,
+			Election:    DefaultElection,
+			Heartbeat:   DefaultHeartbeat,
+			Lease:       DefaultLease,
+			Renewal:     DefaultRenewal,
+			DrainGrace:  DefaultDrainGrace,
+			SilentAfter: DefaultSilentAfter,
 		},
-		Limits: Limits{QueueLength: DefaultQueueLength, MaxInFlight: DefaultMaxInFlight},
+		Limits: Limits{LeafRequests: DefaultLeafRequests},
 	}
 }
 
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -9,15 +9,16 @@
 
 // The bounds of an instance's settings.
 const (
-	maxVoters      = 4 // More instances than this may not be set aside for control.
-	minHeartbeat   = 10 * time.Millisecond
-	maxHeartbeat   = 3 * time.Second
-	maxElection    = 10 * time.Second
-	minLease       = 500 * time.Millisecond
-	maxLease       = 8 * time.Second // A change waits for a lost instance's lease, and must be in force within 10 s.
-	maxDrainGrace  = 10 * time.Minute
-	maxQueueLength = 1_000_000
-	maxMaxInFlight = 100_000
+	maxVoters       = 4 // More instances than this may not be set aside for control.
+	minHeartbeat    = 10 * time.Millisecond
+	maxHeartbeat    = 3 * time.Second
+	maxElection     = 10 * time.Second
+	minLease        = 500 * time.Millisecond
+	maxLease        = 8 * time.Second // A change waits for a lost instance's lease, and must be in force within 10 s.
+	maxDrainGrace   = 10 * time.Minute
+	minSilentAfter  = 100 * time.Millisecond
+	maxSilentAfter  = time.Minute
+	maxLeafRequests = 1_000_000
 	// heartbeatsPerElection is how many heartbeats must be lost in a row before
 	// a voter may stand, so that one lost packet unseats no leader.
 	heartbeatsPerElection = 3
@@ -146,9 +147,9 @@
 	Between(ck, ti.Lease, minLease, maxLease, "Timing", "Lease")
 	Between(ck, ti.Renewal, minHeartbeat, ti.Lease/renewalsPerLease, "Timing", "Renewal")
 	Between(ck, ti.DrainGrace, 0, maxDrainGrace, "Timing", "DrainGrace")
+	Between(ck, ti.SilentAfter, minSilentAfter, maxSilentAfter, "Timing", "SilentAfter")
 }
 
 func (in Instance) checkLimits(ck *Checker) {
-	Between(ck, in.Limits.QueueLength, 1, maxQueueLength, "Limits", "QueueLength")
-	Between(ck, in.Limits.MaxInFlight, 1, maxMaxInFlight, "Limits", "MaxInFlight")
+	Between(ck, in.Limits.LeafRequests, 1, maxLeafRequests, "Limits", "LeafRequests")
 }
