--- a/caller/message.go
+++ b/caller/message.go
@@ -25,14 +25,14 @@
 
 // Query is a caller's request.
 type Query struct {
-	RequestID      string          `json:",omitempty"` // RequestID comes back in the answer; one is made if empty.
-	DeadlineMillis int64           `json:",omitempty"` // DeadlineMillis counts from arrival; 0 means the service's own.
-	Repeatable     *bool           `json:",omitempty"` // Repeatable is true if absent.
-	Key            string          `json:",omitempty"` // Key is required if the request is not repeatable.
+	RequestID      string `json:",omitempty"` // RequestID comes back in the answer; one is made if empty.
+	DeadlineMillis int64  `json:",omitempty"` // DeadlineMillis counts from arrival; 0 means the service's own.
+	Repeatable     *bool  `json:",omitempty"` // Repeatable is true if absent.
+	Key            string `json:",omitempty"` // Key is required if the request is not repeatable.
 	// Resend says that the Key was sent before and its outcome is not known. Such
 	// a request is refused with "not run" only if the record of the first says so.
 	Resend bool            `json:",omitempty"`
 	Policy operator.Policy `json:",omitempty"` // Policy replaces the service's.
-	Shards         []string        `json:",omitempty"` // Shards limits the query to some shards.
-	Query          json.RawMessage // Query is passed to the backend servers as it is.
+	Shards []string        `json:",omitempty"` // Shards limits the query to some shards.
+	Query  json.RawMessage // Query is passed to the backend servers as it is.
 }
