caller: refuse unknown fields of a query

Cause: a misspelt Repeatable was ignored, and the request was run as one that may be repeated. Before: the case {"Repeatble":false} reached the engine (got Code 100, want 106).

--- a/caller/server.go
+++ b/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -112,7 +113,7 @@
 	if len(body) > maxBody {
 		return qu, fmt.Errorf("body: want at most %d bytes", maxBody)
 	}
-	if err := json.Unmarshal(body, &qu); err != nil {
+	if err := unmarshal(body, &qu); err != nil {
 		return qu, fmt.Errorf("body: %w", err)
 	}
 	if qu.RequestID == "" {
@@ -121,6 +122,20 @@
 	return qu, check(qu)
 }
 
+// unmarshal refuses fields that it does not know: a misspelt Repeatable would
+// make a request that must run once one that may run often.
+func unmarshal(body []byte, qu *Query) error {
+	de := json.NewDecoder(bytes.NewReader(body))
+	de.DisallowUnknownFields()
+	if err := de.Decode(qu); err != nil {
+		return err
+	}
+	if de.More() {
+		return errors.New("want one JSON value")
+	}
+	return nil
+}
+
 func check(qu Query) error {
 	switch {
 	case len(qu.RequestID) > maxID:
