--- a/fanout/attempt.go
+++ b/fanout/attempt.go
@@ -11,54 +11,74 @@
 	"balsamwinch.example/limit"
 )
 
+// sending is one attempt under way. It is passed by pointer so that the stack of
+// its goroutine, of which there is one for each leaf request, stays small.
+type sending struct {
+	ask  Ask
+	sent time.Time
+	ch   limit.Choice
+}
+
 // send sends one attempt, reports its end to the servers' table and to the run.
-func (rn *run) send(ctx context.Context, cancel context.CancelFunc, sent time.Time, ac *Ask, ch limit.Choice) {
+func (rn *run) send(ctx context.Context, cancel context.CancelFunc, se *sending) {
 	defer rn.leave()
 	defer cancel()
-	en := rn.en
-	rp, err := en.cl.Do(ctx, rn.target(sent, &ch), backend.Request{
-		RequestID:     ac.RequestID,
+	rp, err := rn.en.cl.Do(ctx, rn.target(se), rn.request(se))
+	if err != nil {
+		rn.reportFailure(se, failureOf(err))
+		return
+	}
+	rn.reportReply(se, rp)
+}
+
+func (rn *run) request(se *sending) backend.Request {
+	return backend.Request{
+		RequestID:     se.ask.RequestID,
 		Service:       rn.qu.Service,
-		Shard:         ac.Shard,
-		Snapshot:      ac.Snapshot,
-		TimeoutMillis: max(1, rn.leafBy.Sub(sent).Milliseconds()),
+		Shard:         se.ask.Shard,
+		Snapshot:      se.ask.Snapshot,
+		TimeoutMillis: max(1, rn.leafBy.Sub(se.sent).Milliseconds()),
 		Repeatable:    rn.qu.Repeatable,
 		Key:           rn.qu.Key,
 		Query:         rn.qu.Body,
-	})
-	now := en.ts.Now()
-	var oc limit.Outcome
-	var ev Event
-	if err == nil {
-		oc = outcome(&rp)
-		ev = Replied{Now: now, Attempt: ac.Attempt, Server: ch.Server, Reply: rp}
-	} else {
-		er := failureOf(err)
-		oc = limit.Outcome{Kind: failureKind(er)}
-		ev = AttemptFailed{Now: now, Attempt: ac.Attempt, Kind: er.Kind, Sent: er.Sent}
-		if er.Sent {
-			defer en.held.keep(en, now, ac.RequestID, ch)
-		}
 	}
-	oc.Latency = now.Sub(sent)
-	en.ta.Done(now, ch, oc)
+}
+
+func (rn *run) reportReply(se *sending, rp backend.Reply) {
+	now := rn.en.ts.Now()
+	rn.release(now, se, outcome(&rp))
+	rn.post(Replied{Now: now, Attempt: se.ask.Attempt, Server: se.ch.Server, Reply: rp})
+}
+
+func (rn *run) reportFailure(se *sending, er *backend.Error) {
+	now := rn.en.ts.Now()
+	rn.release(now, se, limit.Outcome{Kind: failureKind(er)})
+	rn.post(AttemptFailed{Now: now, Attempt: se.ask.Attempt, Kind: er.Kind, Sent: er.Sent})
+	if er.Sent {
+		rn.en.held.keep(rn.en, now, se.ask.RequestID, se.ch)
+	}
+}
+
+// release gives the slot of an attempt back.
+func (rn *run) release(now time.Time, se *sending, oc limit.Outcome) {
+	oc.Latency = now.Sub(se.sent)
+	rn.en.ta.Done(now, se.ch, oc)
 	rn.learn(oc)
-	rn.post(ev)
 }
 
 // target returns where an attempt goes. A connection that has gone silent looks
 // like a slow server. It is given up while there is time for another one; a
 // request that must not be repeated has no use for another and waits to the end.
-func (rn *run) target(now time.Time, ch *limit.Choice) backend.Target {
-	silent := rn.ru.Finish.Sub(now)
+func (rn *run) target(se *sending) backend.Target {
+	silent := rn.ru.Finish.Sub(se.sent)
 	if rn.ru.Repeatable {
 		silent = silent * silentNum / silentDen
 	}
 	return backend.Target{
-		Server:      ch.Server,
-		Address:     ch.Record.Address,
-		Incarnation: ch.Record.Incarnation,
-		Connections: ch.Connections,
+		Server:      se.ch.Server,
+		Address:     se.ch.Record.Address,
+		Incarnation: se.ch.Record.Incarnation,
+		Connections: se.ch.Connections,
 		SilentAfter: max(silent, time.Millisecond),
 	}
 }
--- a/fanout/bench_test.go
+++ b/fanout/bench_test.go
@@ -25,19 +25,32 @@
 }
 
 func (instant) Do(_ context.Context, ta backend.Target, rq backend.Request) (backend.Reply, error) {
-	return ok(rq, ta.Server), nil
+	return backend.Reply{RequestID: rq.RequestID, Server: ta.Server, Shard: rq.Shard, Snapshot: rq.Snapshot, Code: backend.ReplyOK}, nil
 }
 
+// bare is instant with a table that decides nothing.
+type bare struct {
+	instant
+}
+
+func (bare) Pick(_ time.Time, _ operator.Tactics, candidates []backend.Record, _ []string) (limit.Choice, bool) {
+	return limit.Choice{Server: candidates[0].Server, Record: candidates[0]}, true
+}
+func (bare) Done(time.Time, limit.Choice, limit.Outcome) {}
+func (bare) Observe(string, time.Duration)               {}
+
 // BenchmarkRun measures what a query costs the entry itself, with servers that
 // reply at once: processor time and allocations for each leaf request, and the
-// time from arrival to answer. The table of package limit is the real one.
+// time from arrival to answer. The table of package limit is the real one but for
+// bare, which shows what is the engine's own.
 func BenchmarkRun(b *testing.B) {
 	for _, count := range []int{13, 180} {
-		b.Run(strconv.Itoa(count), func(b *testing.B) { benchmarkRun(b, count) })
+		b.Run(strconv.Itoa(count), func(b *testing.B) { benchmarkRun(b, count, false) })
+		b.Run(strconv.Itoa(count)+"/bare", func(b *testing.B) { benchmarkRun(b, count, true) })
 	}
 }
 
-func benchmarkRun(b *testing.B, count int) {
+func benchmarkRun(b *testing.B, count int, decidesNothing bool) {
 	vi := &view.View{Sequence: 1, LeaseUntil: time.Now().Add(time.Hour)}
 	var shards []string
 	for ix := range count {
@@ -60,7 +73,11 @@
 	cl := instant{limit.NewTable(ts, limit.TableConfig{})}
 	cl.Update(vi)
 	nb := func(percent float64, burst int) Budget { return limit.NewBudget(percent, burst) }
-	en := New("i", &ce, cl, cl.Table, limit.NewAdmission(ts, limit.AdmissionConfig{}), nb, nil, ts, zap.NewNop(), NewMetrics(metrics.NewSet()))
+	var ta Servers = cl
+	if decidesNothing {
+		ta = bare{cl}
+	}
+	en := New("i", &ce, cl, ta, limit.NewAdmission(ts, limit.AdmissionConfig{}), nb, nil, ts, zap.NewNop(), NewMetrics(metrics.NewSet()))
 	var took []time.Duration
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/fanout/engine.go
+++ b/fanout/engine.go
@@ -171,7 +171,7 @@
 }
 
 func refusal(co result.Code, detail string, retryAfter time.Duration) Answer {
-	return Answer{Code: co, Detail: detail, RetryAfterMillis: retryAfter.Milliseconds()}
+	return Answer{Code: co, Detail: detail, Covered: []string{}, RetryAfterMillis: retryAfter.Milliseconds()}
 }
 
 // prepare checks whether the query may be run at all and plans it. It returns
--- a/fanout/engine_test.go
+++ b/fanout/engine_test.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"balsamwinch.example/backend"
 	"balsamwinch.example/limit"
@@ -40,6 +41,7 @@
 	slow     time.Duration // slow is how long the choice for a hedge or retry takes.
 	closed   bool          // closed says that no server will have room.
 	refuse   *result.Error
+	admitted func()
 	reply    func(ctx context.Context, rq backend.Request, server string) (backend.Reply, error)
 	requests []backend.Request
 	targets  []backend.Target
@@ -62,6 +64,7 @@
 	}
 	ti.begin = func() (once.Decision, error) { return once.Decision{Status: once.Fresh}, nil }
 	ti.finish = func(int) error { return nil }
+	ti.admitted = func() {}
 	ti.publish(func(vi *view.View) {
 		for _, name := range []string{"a1", "a2", "b1", "b2"} {
 			vi.Servers = append(vi.Servers, backend.Record{
@@ -161,6 +164,7 @@
 }
 
 func (ti *tier) Admit(context.Context, string, int, int, time.Time) (func(bool), *result.Error) {
+	ti.admitted()
 	return func(bool) {}, ti.refuse
 }
 
@@ -349,27 +353,56 @@
 // have dropped the version that it pinned, and their announcements come a little
 // later than their refusals. The caller gets the whole answer from the new one.
 func TestRunVersionGone(t *testing.T) {
-	play(t, func(c *qt.C, ti *tier) {
-		ti.reply = func(_ context.Context, rq backend.Request, server string) (backend.Reply, error) {
-			rp := ok(rq, server)
-			if rq.Shard == "a" && rq.Snapshot == v5 {
-				rp.Code = backend.ReplyVersionGone
-			}
-			return rp, nil
-		}
-		time.AfterFunc(20*time.Millisecond, func() {
-			ti.publish(func(vi *view.View) {
-				for ix := range vi.Servers {
-					vi.Servers[ix].Sequence++
-					vi.Servers[ix].Holdings = []backend.Holding{{Shard: vi.Servers[ix].Server[:1], Snapshot: v6}}
+	for _, waits := range []bool{false, true} {
+		play(t, func(c *qt.C, ti *tier) {
+			ti.reply = func(_ context.Context, rq backend.Request, server string) (backend.Reply, error) {
+				rp := ok(rq, server)
+				if rq.Shard == "a" && rq.Snapshot == v5 {
+					rp.Code = backend.ReplyVersionGone
 				}
-			})
+				return rp, nil
+			}
+			load := func() {
+				ti.publish(func(vi *view.View) {
+					for ix := range vi.Servers {
+						vi.Servers[ix].Sequence++
+						vi.Servers[ix].Holdings = []backend.Holding{{Shard: vi.Servers[ix].Server[:1], Snapshot: v6}}
+					}
+				})
+			}
+			restarts := 0
+			if waits {
+				ti.admitted = load // while the query waits for its admission
+			} else {
+				time.AfterFunc(20*time.Millisecond, load)
+				restarts = 1
+			}
+			an := ti.en.Run(c.Context(), ti.query())
+			c.Assert(brief(an), qt.Equals, "Complete [a b] []")
+			c.Assert(an.Snapshot, qt.Equals, v6)
+			c.Assert(an.Rows[1].Rows, qt.DeepEquals, rowOf(v6, "b"))
+			c.Assert(an.Cost.Restarts, qt.Equals, restarts)
 		})
-		an := ti.en.Run(c.Context(), ti.query())
-		c.Assert(brief(an), qt.Equals, "Complete [a b] []")
-		c.Assert(an.Snapshot, qt.Equals, v6)
-		c.Assert(an.Rows[1].Rows, qt.DeepEquals, rowOf(v6, "b"))
-		c.Assert(an.Cost.Restarts, qt.Equals, 1)
+	}
+}
+
+// A shard is gone, and each of a thousand queries a second would write a line
+// about it. The log says how many it left out instead.
+func TestLog(t *testing.T) {
+	play(t, func(c *qt.C, ti *tier) {
+		core, logs := observer.New(zap.InfoLevel)
+		ti.en.lg = zap.New(core)
+		ti.publish(func(vi *view.View) { vi.Servers = vi.Servers[2:] })
+		for range 100 {
+			ti.en.Run(c.Context(), ti.query())
+		}
+		time.Sleep(time.Minute)
+		c.Assert(logs.Len(), qt.Equals, logsBurst)
+		ti.en.Run(c.Context(), ti.query())
+		last := logs.All()[logsBurst]
+		c.Assert(last.Message, qt.Equals, "query.incomplete")
+		c.Assert(last.ContextMap()["RequestID"], qt.Equals, "r")
+		c.Assert(last.ContextMap()["Omitted"], qt.Equals, int64(100-logsBurst))
 	})
 }
 
--- a/fanout/keyed.go
+++ b/fanout/keyed.go
@@ -95,7 +95,7 @@
 // notKept returns the answer to a resend if only the code of the first answer is
 // kept. It covers no shard, so it can't say Complete.
 func (rn *run) notKept(co result.Code) Answer {
-	an := Answer{Code: co, Snapshot: rn.plan.Snapshot}
+	an := Answer{Code: co, Snapshot: rn.plan.Snapshot, Covered: []string{}}
 	if co != result.Complete && co != result.Partial && co != result.Incomplete {
 		return an
 	}
@@ -166,6 +166,7 @@
 	part([]byte(qu.Service))
 	shs := slices.Clone(qu.Shards)
 	slices.Sort(shs)
+	shs = slices.Compact(shs)
 	part(binary.AppendUvarint(nil, uint64(len(shs))))
 	for _, sh := range shs {
 		part([]byte(sh))
--- a/fanout/run.go
+++ b/fanout/run.go
@@ -64,6 +64,7 @@
 // execute runs the planned query to its answer.
 func (rn *run) execute() Answer {
 	en := rn.en
+	rn.pin()
 	count := len(rn.plan.Shards)
 	rn.base, rn.cancel = context.WithDeadline(context.WithoutCancel(rn.ctx), rn.ru.Finish)
 	rn.events = make(chan Event, count+spareEvents)
@@ -168,6 +169,19 @@
 	})
 }
 
+// pin takes the plan of the newest view. Since the query was planned it may have
+// waited for its admission or for the record of its intent.
+func (rn *run) pin() {
+	was := rn.ro
+	rn.refresh()
+	if rn.ro == was {
+		return
+	}
+	if plan, ok := rn.ro.planFor(rn.qu.Shards); ok {
+		rn.plan = plan
+	}
+}
+
 // replan looks for a newer snapshot in the newest view.
 func (rn *run) replan(newer snapshot.ID) {
 	rn.refresh()
@@ -214,7 +228,7 @@
 	at.server = ch.Server
 	at.cancel = cancel
 	rn.live.Add(1)
-	go rn.send(ctx, cancel, now, &ac, ch)
+	go rn.send(ctx, cancel, &sending{ask: ac, sent: now, ch: ch})
 }
 
 // tried returns the servers that the shard was sent to.
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -59,6 +59,9 @@
 // farewell closes the connections to backend servers, gives the lease back,
 // hands leadership over and tells the others.
 func (in *Instance) farewell(ctx context.Context) {
+	if err := in.en.Wait(ctx); err != nil {
+		in.lg.Warn("requests-cut-off", zap.Int64("Active", int64(in.en.Active())), zap.Error(err))
+	}
 	in.cl.Close()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -184,7 +184,11 @@
 func (in *Instance) servers(vi *view.View) []operator.ServerStatus {
 	var out []operator.ServerStatus
 	for _, re := range vi.Servers {
+		sv, _ := in.ta.Server(in.ts.Now(), re.Server)
+		running, held := sv.InFlight()
 		out = append(out, operator.ServerStatus{
+			InFlight:    running + held,
+			SetAside:    string(sv.Reason()),
 			Name:        re.Server,
 			Service:     re.Service,
 			Address:     re.Address,
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -16,8 +16,13 @@
 
 // Bounds of a voter.
 const (
-	// snapshotEvery is after how many entries the state is written as a snapshot.
-	snapshotEvery = 1000
+	// snapshotChanges is after how many changes the state is written as a snapshot,
+	// since replaying one costs a merge of all files.
+	snapshotChanges = 500
+	// snapshotBytes is after how many bytes of commands, at least, the state is
+	// written as a snapshot. Writing one costs in proportion to its size, so the
+	// log may grow to the size of the last one first.
+	snapshotBytes = 256 << 10
 	// inForceWait is how long a change waits to be in force before its operator is
 	// told that it is pending.
 	inForceWait = 8 * time.Second
@@ -55,7 +60,8 @@
 	failed error
 
 	appliedIndex, appliedTerm uint64
-	snapshotIndex             uint64
+	changesSince, bytesSince  int // since the last snapshot
+	snapshotSize              int
 	ready                     bool // ready says that an entry of the own term was applied while leading.
 	role                      quorum.Role
 	leader                    quorum.ID
@@ -112,7 +118,7 @@
 	}
 	vo.appliedIndex = index
 	vo.appliedTerm = term
-	vo.snapshotIndex = index
+	vo.snapshotSize = len(data)
 	return nil
 }
 
@@ -149,7 +155,7 @@
 	if vo.fail(vo.jo.SaveSnapshot(sn)) {
 		return
 	}
-	vo.appliedIndex, vo.appliedTerm, vo.snapshotIndex = sn.Index, sn.Term, sn.Index
+	vo.appliedIndex, vo.appliedTerm = sn.Index, sn.Term
 	vo.start(quorum.HardState{Term: sn.Term}, sn, nil)
 	vo.th.lg.Info("control-formed", zap.Any("Voters", vs.Voters))
 }
@@ -268,7 +274,7 @@
 			vo.command(en)
 		}
 	}
-	if vo.appliedIndex-vo.snapshotIndex >= snapshotEvery {
+	if vo.changesSince >= snapshotChanges || vo.bytesSince >= max(snapshotBytes, vo.snapshotSize) {
 		vo.snapshot()
 	}
 }
@@ -281,6 +287,10 @@
 		vo.fail(&result.Error{Code: result.DamagedState, Op: "read command", Err: err})
 		return
 	}
+	vo.bytesSince += len(en.Data)
+	if _, ok := cm.(control.Change); ok {
+		vo.changesSince++
+	}
 	before := vo.sm.Revision()
 	sm, oc := vo.sm.Apply(en.Index, cm)
 	vo.sm = sm
@@ -437,7 +447,7 @@
 	if vo.fail(vo.jo.SaveSnapshot(sn)) {
 		return
 	}
-	vo.snapshotIndex = sn.Index
+	vo.changesSince, vo.bytesSince, vo.snapshotSize = 0, 0, len(data)
 	vo.step(quorum.Compacted{Index: sn.Index})
 }
 
