instance: a single control instance accepts changes; no race in the farewell

Cause: with one voter the log commits in the very step in which it appends, so Apply came before the leader was told of its role and before Appended: no lease was ever granted and no change answered (scenario one-instance: 'outcome unknown, apply again to ask', 20 s). Ruled out: the quorum lease, which is renewed. Change: a leader is ready when its last applied entry is of its own term; Appended is noted before the other actions. The renewals end before the lease is given back (data race of release with renew, seen in 1 of 6 runs of TestRunOnATier with -race). A refused renewal is asked again after a quarter of the period.

--- a/cmd/balsamwinch/demo.go
+++ b/cmd/balsamwinch/demo.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	all := func(in *instance.Instance) bool {
-		return len(in.View().Servers) == demoShards*demoReplicas
+		return len(in.View().Servers) == demoShards*demoReplicas && in.Ready()
 	}
 	if err := lo.Wait(ready, all); err != nil {
 		return err
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 )
 
+// farewellTime bounds the last words of an instance: a renewal that is under way
+// and the one that gives the lease back.
+const farewellTime = 2 * callTimeout
+
 // drain stops the instance without cutting a request off. It leaves the address
 // list at once, and goes on serving until the lists that callers hold have run
 // out: a caller that connects with a list which is still valid must be served,
@@ -63,9 +67,9 @@
 		in.lg.Warn("requests-cut-off", zap.Int64("Active", int64(in.en.Active())), zap.Error(err))
 	}
 	in.cl.Close()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, farewellTime)
 	defer cancel()
-	in.rn.release(ctx)
+	in.rn.leave(ctx)
 	reply := make(chan struct{})
 	if err := in.th.post(ctx, leaving{reply: reply}); err != nil {
 		return
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -92,7 +92,7 @@
 	in.th = newThread(cf, in.self(), in.ce, co, ts, lg, in.viewChanged)
 	in.th.pe = pe
 	in.la = &leaderAsker{cf: cf, as: in, th: in.th, ts: ts}
-	in.rn = &renewer{cf: cf, ce: in.ce, th: in.th, as: in, ts: ts, lg: lg}
+	in.rn = &renewer{cf: cf, ce: in.ce, th: in.th, as: in, ts: ts, lg: lg, leaving: make(chan chan<- struct{})}
 	if err := in.openControl(); err != nil {
 		return nil, errors.Join(err, in.close())
 	}
@@ -300,6 +300,12 @@
 	close(in.kill)
 }
 
+// Ready reports whether the instance would serve a caller now.
+func (in *Instance) Ready() bool {
+	vi := in.ce.Load()
+	return !vi.Draining && vi.Configuration.Revision > 0 && vi.Leased(in.ts.Now())
+}
+
 // View returns the newest view.
 func (in *Instance) View() *view.View {
 	return in.ce.Load()
--- a/instance/lease.go
+++ b/instance/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
 	"balsamwinch.example/control"
@@ -33,49 +34,72 @@
 	guess string // guess is whom to ask first.
 	next  int
 	lost  bool
+
+	leaving chan chan<- struct{}
 }
 
-// Serve renews until the context ends.
+// Serve renews until the context ends or the instance leaves.
 func (rn *renewer) Serve(ctx context.Context) error {
 	su := rn.ts.Subscribe(rn.cf.Timing.Renewal)
 	defer su.Stop()
 	for {
-		wait := su.C
-		if !rn.renew(ctx) {
-			// No leader answered: asking again soon shortens the time without one.
-			_ = rn.ts.Sleep(ctx, tickPeriod)
-			continue
+		retry := make(chan struct{})
+		if again := rn.renew(ctx); again > 0 {
+			rn.ts.Timeout(again, func() { close(retry) })
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-wait:
+		case done := <-rn.leaving:
+			rn.release(ctx)
+			close(done)
+			return suture.ErrDoNotRestart
+		case <-retry:
+		case <-su.C:
 		case <-rn.th.nudge:
 		}
 	}
 }
 
-// renew asks for a lease once and reports whether a leader answered, or the
-// context ended.
-func (rn *renewer) renew(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return true
+// leave gives the lease back and ends the renewals, so that none that is under
+// way takes the lease again.
+func (rn *renewer) leave(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case rn.leaving <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
+}
+
+// renew asks for a lease once and returns after how long to ask again out of
+// turn; zero means in turn. Asking again soon shortens the time without a lease.
+func (rn *renewer) renew(ctx context.Context) time.Duration {
 	sentAt := rn.ts.Now()
 	gr, ok := rn.request(ctx, rn.renewal(sentAt, false))
 	if !ok {
-		return false
+		return tickPeriod
 	}
 	if gr.Granted == rn.lost {
 		rn.lost = !gr.Granted
 		rn.lg.Info("lease", zap.Bool("Granted", gr.Granted), zap.String("Reason", gr.Reason))
 	}
 	_ = rn.th.post(ctx, granted{gr: gr, sentAt: sentAt})
-	return true
+	if !gr.Granted {
+		return rn.cf.Timing.Renewal / 4
+	}
+	return 0
 }
 
-// release gives the lease back, so that control need not wait for its end.
+// release gives the lease back, so that control need not wait for its end. Without
+// a leader it gives up, and the lease runs out.
 func (rn *renewer) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	for ctx.Err() == nil {
 		if _, ok := rn.request(ctx, rn.renewal(rn.ts.Now(), true)); ok {
 			return
--- a/instance/local.go
+++ b/instance/local.go
@@ -143,6 +143,11 @@
 	if err != nil {
 		return err
 	}
+	for name, at := range map[string]*string{
+		"Caller": &li.st.Addresses.Caller, "Backend": &li.st.Addresses.Backend, "Operator": &li.st.Addresses.Operator,
+	} {
+		*at = in.Address(name) // A restart comes back to where others know it.
+	}
 	li.in = in
 	li.done = make(chan error, 1)
 	go func() { li.done <- in.Serve(context.Background()) }()
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -62,7 +62,6 @@
 	appliedIndex, appliedTerm uint64
 	changesSince, bytesSince  int // since the last snapshot
 	snapshotSize              int
-	ready                     bool // ready says that an entry of the own term was applied while leading.
 	role                      quorum.Role
 	leader                    quorum.ID
 	leaderSince               time.Time
@@ -182,9 +181,16 @@
 }
 
 // step gives an event to the replicated log and performs its actions in order.
+// Where a proposal was appended is noted first: the only voter of a tier commits
+// it in the same step, and its proposer would miss the entry.
 func (vo *voter) step(ev quorum.Event) {
 	st, acs := quorum.Step(vo.st, ev)
 	vo.st = st
+	for _, ac := range acs {
+		if ap, ok := ac.(quorum.Appended); ok {
+			vo.appended(ap)
+		}
+	}
 	for _, ac := range acs {
 		if vo.failed != nil {
 			return
@@ -201,8 +207,6 @@
 		vo.send(ac)
 	case quorum.Apply:
 		vo.apply(ac.Entries)
-	case quorum.Appended:
-		vo.appended(ac)
 	case quorum.Refused:
 		vo.refused(ac)
 	case quorum.NeedSnapshot:
@@ -267,9 +271,6 @@
 func (vo *voter) apply(ens []quorum.Entry) {
 	for _, en := range ens {
 		vo.appliedIndex, vo.appliedTerm = en.Index, en.Term
-		if vo.role == quorum.Leader && en.Term == vo.st.Term() {
-			vo.ready = true
-		}
 		if en.Type == quorum.EntryCommand {
 			vo.command(en)
 		}
@@ -371,9 +372,10 @@
 }
 
 // leads reports whether this voter may act as the leader: no other can exist
-// until its lease ends, and it has applied all that earlier leaders committed.
+// until its lease ends, and it has applied an entry of its own term, and with it
+// all that earlier leaders committed.
 func (vo *voter) leads(now time.Time) bool {
-	return vo.formed && vo.role == quorum.Leader && vo.ready && now.Before(vo.st.LeaseUntil())
+	return vo.formed && vo.role == quorum.Leader && vo.appliedTerm == vo.st.Term() && now.Before(vo.st.LeaseUntil())
 }
 
 func (vo *voter) appended(ac quorum.Appended) {
@@ -410,7 +412,6 @@
 	vo.th.lg.Info("role-changed", zap.String("Role", string(ac.Role)), zap.Uint64("Term", ac.Term),
 		zap.String("Leader", nameOf(ac.Leader)), zap.String("Reason", ac.Reason))
 	if ac.Role == quorum.Leader && was != quorum.Leader {
-		vo.ready = false
 		vo.bo = control.NewBook(now, vo.th.cf.Timing.Lease).WithRevision(now, vo.sm.Revision())
 		return
 	}
@@ -422,7 +423,6 @@
 // abandon answers all who wait at a leader that was deposed: their commands may
 // or may not be committed, and they ask the next leader by resending.
 func (vo *voter) abandon() {
-	vo.ready = false
 	for tag, pd := range vo.proposed {
 		delete(vo.proposed, tag)
 		pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.leader)}
