--- a/instance/local_bench_test.go
+++ b/instance/local_bench_test.go
@@ -85,7 +85,9 @@
 		}
 		go func() { _ = le.Serve(ctx) }()
 	}
-	all := func(in *instance.Instance) bool { return len(in.View().Servers) == leaves && in.View().Leased(ts.Now()) }
+	all := func(in *instance.Instance) bool {
+		return len(in.View().Servers) == leaves && in.View().Leased(ts.Now())
+	}
 	if err := lo.Wait(ready, all); err != nil {
 		b.Fatal(err)
 	}
