instance: grants carry what changed; audit from the leader

Cause: each grant carried all lease holders, and for each change all files: 202 KB a second at each of 890 instances and 397 MB a change by the lines of docs/CAPACITY.md. balsamctl audit and explain took the first control instance's word, which may not have heard of a change yet (scenario explain: no match for 'by bruno .*Conflict.*'). Change: a renewal names the digest of the list that it holds and its revision; the grant brings the list only if the digest differs, and only the files that changed since, with all names. Files that were asked for from an older revision are not taken. Audit entries come from the leader.

--- a/control/message.go
+++ b/control/message.go
@@ -30,6 +30,8 @@
 	// Entries is by how many entry instances it divides the connection limits
 	// now: the Grant.Entries that it last followed. Zero means the last granted.
 	Entries int
+	// Roster is the Grant.Roster of the list of instances that the instance holds.
+	Roster uint64
 }
 
 // Grant answers a Renewal. The holder counts LeaseMillis from when it sent the
@@ -40,9 +42,16 @@
 	Reason      string // Reason says why the lease is not granted.
 	Term        uint64
 	Revision    uint64
-	Files       []File // Files are all accepted files, only if newer than Renewal.InForce.
-	Instances   []view.Instance
-	Leader      string
+	// Names are all accepted files and Files those of them that changed since
+	// Renewal.InForce; both are empty if nothing did. An instance keeps the files
+	// that Names lists and Files does not.
+	Names []string
+	Files []File
+	// Roster is the digest of the list of lease holders, and Instances the list,
+	// only if the digest is not that of the renewal.
+	Roster    uint64
+	Instances []view.Instance
+	Leader    string
 	// Entries is by how many entry instances to divide the connection limits.
 	Entries int
 }
@@ -89,6 +98,8 @@
 // AuditReply gives audit entries. Base names the entry before the oldest kept
 // one, and Head the newest, so that a reader can tell what is missing.
 type AuditReply struct {
+	OK      bool   // OK says that the one who answers leads, so that nothing is missing at the end.
+	Leader  string // Leader is whom to ask instead.
 	Entries []AuditEntry
 	Base    AuditHead
 	Head    AuditHead
--- a/instance/event.go
+++ b/instance/event.go
@@ -28,8 +28,9 @@
 
 // granted is control's answer to a renewal.
 type granted struct {
-	gr     control.Grant
-	sentAt time.Time // sentAt is when the renewal was sent; the lease counts from it.
+	gr      control.Grant
+	sentAt  time.Time // sentAt is when the renewal was sent; the lease counts from it.
+	inForce uint64    // inForce is the revision that the renewal named.
 }
 
 // formed says that the voter set of the tier's first start is known. An empty
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -3,11 +3,16 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
 	"balsamwinch.example/control"
 	"balsamwinch.example/operator"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
+	"balsamwinch.example/view"
 )
 
 // renewal grants or refuses a lease. Only a leader that no other can have
@@ -25,15 +30,56 @@
 	gr.Reason = reason
 	gr.LeaseMillis = bo.LeaseMillis()
 	gr.Revision = vo.sm.Revision()
-	gr.Instances = bo.Instances(now)
+	ro := vo.rosterAt(now)
+	gr.Roster = ro.digest
+	if ro.digest != rn.Roster {
+		gr.Instances = ro.list
+	}
 	gr.Entries = bo.Entries(rn.Instance)
 	if gr.Revision > rn.InForce {
-		gr.Files = vo.sm.Files()
+		gr.Names, gr.Files = changedSince(vo.sm.Files(), rn.InForce)
 	}
 	vo.settle(now)
 	return gr
 }
 
+// changedSince returns the names of all files, and the files that changed after
+// the revision. Sending all files to every instance would cost their size times
+// the number of instances for each change.
+func changedSince(all []control.File, revision uint64) (names []string, changed []control.File) {
+	for _, fi := range all {
+		names = append(names, fi.Name)
+		if fi.Revision > revision {
+			changed = append(changed, fi)
+		}
+	}
+	return names, changed
+}
+
+// roster is the list of lease holders and its digest.
+type roster struct {
+	at     time.Time
+	list   []view.Instance
+	digest uint64
+}
+
+// rosterAt returns the list of lease holders, at most rosterPeriod old. With many
+// instances nearly every renewal finds the list that it holds already, so the list
+// neither has to be made nor sent for each.
+func (vo *voter) rosterAt(now time.Time) roster {
+	if now.Sub(vo.roster.at) < rosterPeriod {
+		return vo.roster
+	}
+	vo.roster = roster{at: now, list: vo.bo.Instances(now)}
+	data, err := cbor.Marshal(vo.roster.list)
+	if err != nil {
+		vo.th.lg.Error("roster-not-encoded", zap.Error(err))
+		return vo.roster
+	}
+	vo.roster.digest = xxhash.Sum64(data)
+	return vo.roster
+}
+
 // proposal appends a command to the log, with the leader's clock in it. The
 // reply comes once the command is applied, and for a change once it is in force.
 func (vo *voter) proposal(ms control.Proposal, reply chan<- peer.Message) {
@@ -179,13 +225,19 @@
 	return out
 }
 
+// audit gives audit entries, from the leader alone: another voter may not have
+// heard of a change that its operator was just told of.
 func (vo *voter) audit(rq control.AuditRequest) control.AuditReply {
+	if !vo.leads(vo.th.ts.Now()) {
+		return control.AuditReply{Leader: vo.hint()}
+	}
 	limit := rq.Limit
 	if limit <= 0 || limit > auditPage {
 		limit = auditPage
 	}
 	ens := vo.sm.Audit(rq.From)
 	return control.AuditReply{
+		OK:      true,
 		Entries: ens[:min(len(ens), limit)],
 		Base:    vo.sm.AuditBase(),
 		Head:    vo.sm.AuditHead(),
--- a/instance/lease.go
+++ b/instance/lease.go
@@ -80,7 +80,8 @@
 // turn; zero means in turn. Asking again soon shortens the time without a lease.
 func (rn *renewer) renew(ctx context.Context) time.Duration {
 	sentAt := rn.ts.Now()
-	gr, ok := rn.request(ctx, rn.renewal(sentAt, false))
+	rq := rn.renewal(sentAt, false)
+	gr, ok := rn.request(ctx, rq)
 	if !ok {
 		return tickPeriod
 	}
@@ -88,7 +89,7 @@
 		rn.lost = !gr.Granted
 		rn.lg.Info("lease", zap.Bool("Granted", gr.Granted), zap.String("Reason", gr.Reason))
 	}
-	_ = rn.th.post(ctx, granted{gr: gr, sentAt: sentAt})
+	_ = rn.th.post(ctx, granted{gr: gr, sentAt: sentAt, inForce: rq.InForce})
 	if !gr.Granted {
 		return rn.cf.Timing.Renewal / 4
 	}
@@ -116,6 +117,7 @@
 		Releasing: releasing,
 		Leased:    vi.Leased(now),
 		Entries:   vi.Entries,
+		Roster:    rn.th.roster.Load(),
 	}
 }
 
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -207,8 +207,8 @@
 	var ar operator.AuditReply
 	err := in.la.until(ctx, callTimeout, control.AuditRequest{From: from, Limit: auditPage}, func(ms peer.Message) (string, bool) {
 		rp, ok := ms.(control.AuditReply)
-		if !ok {
-			return "", false
+		if !ok || !rp.OK {
+			return rp.Leader, false
 		}
 		ar.Entries = nil
 		for _, en := range rp.Entries {
--- a/instance/thread.go
+++ b/instance/thread.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -53,7 +54,10 @@
 	memberTick time.Time
 	cfg        operator.Configuration
 	lease      time.Time
-	leased     bool // leased says whether the lease held at the last tick.
+	leased     bool                    // leased says whether the lease held at the last tick.
+	files      map[string]control.File // files are those in force.
+	roster     atomic.Uint64           // roster is the digest of holders; renewals read it.
+	holders    []view.Instance         // holders are the instances that control last listed.
 	entries    int
 	draining   bool
 	sequence   uint64
@@ -303,7 +307,7 @@
 	if ev.gr.Leader != "" {
 		th.leader = ev.gr.Leader
 	}
-	if ev.gr.Revision > th.cfg.Revision && len(ev.gr.Files) > 0 && !th.adopt(ev.gr) {
+	if ev.gr.Revision > th.cfg.Revision && th.follows(ev) && !th.adopt(ev.gr) {
 		return
 	}
 	if !ev.gr.Granted {
@@ -314,16 +318,35 @@
 		th.lease = until
 	}
 	th.entries = ev.gr.Entries
-	th.member(member.Instances{Now: th.ts.Now(), Instances: ev.gr.Instances})
+	if ev.gr.Roster != th.roster.Load() {
+		th.holders = ev.gr.Instances
+		th.roster.Store(ev.gr.Roster)
+	}
+	// The same list again says that control still hears them.
+	th.member(member.Instances{Now: th.ts.Now(), Instances: th.holders})
 	th.dirty = true
 }
 
+// follows reports whether the grant's files build on those in force here. One
+// that was asked for from an older revision lists files as unchanged that did
+// change since; the next renewal brings the right ones.
+func (th *thread) follows(ev granted) bool {
+	return ev.inForce == th.cfg.Revision && len(ev.gr.Names)+len(ev.gr.Files) > 0
+}
+
 // adopt puts the files of a grant in force and reports whether it could. An
 // instance that can't read them must not use the lease that came with them.
 func (th *thread) adopt(gr control.Grant) bool {
-	fis := make([]operator.File, 0, len(gr.Files))
+	files := make(map[string]control.File, len(gr.Names))
+	for _, name := range gr.Names {
+		files[name] = th.files[name]
+	}
 	for _, fi := range gr.Files {
-		fis = append(fis, operator.File{Name: fi.Name, Content: fi.Content})
+		files[fi.Name] = fi
+	}
+	fis := make([]operator.File, 0, len(files))
+	for _, name := range gr.Names {
+		fis = append(fis, operator.File{Name: name, Content: files[name].Content})
 	}
 	cfg, fs := operator.Merge(fis)
 	if len(fs) > 0 {
@@ -332,6 +355,7 @@
 	}
 	cfg.Revision = gr.Revision
 	th.cfg = cfg
+	th.files = files
 	th.lg.Info("configuration-in-force", zap.Uint64("Revision", gr.Revision))
 	th.dirty = true
 	th.publish() // The renewal that is woken must name this revision.
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -28,6 +28,8 @@
 	inForceWait = 8 * time.Second
 	// auditPage is how many audit entries one reply carries at most.
 	auditPage = 200
+	// rosterPeriod is how old the list of lease holders in a grant may be.
+	rosterPeriod = 100 * time.Millisecond
 	// replaceAfter is how many election timeouts a disk must have been silent, and
 	// the leader must have led, before another disk of its instance replaces it.
 	replaceAfter = 4
@@ -66,6 +68,7 @@
 	leader                    quorum.ID
 	leaderSince               time.Time
 	bo                        control.Book
+	roster                    roster
 	tag                       uint64
 	proposed                  map[uint64]pending
 	waiting                   []waiting
@@ -412,6 +415,7 @@
 	vo.th.lg.Info("role-changed", zap.String("Role", string(ac.Role)), zap.Uint64("Term", ac.Term),
 		zap.String("Leader", nameOf(ac.Leader)), zap.String("Reason", ac.Reason))
 	if ac.Role == quorum.Leader && was != quorum.Leader {
+		vo.roster = roster{}
 		vo.bo = control.NewBook(now, vo.th.cf.Timing.Lease).WithRevision(now, vo.sm.Revision())
 		return
 	}
