capacity: measure grants that carry what changed

Cause: the stand-ins for the leader still sent all lease holders and files. Change: the quiet grant and a changed list are apart; a change is one file and all names.

--- a/capacity/grants.go
+++ b/capacity/grants.go
@@ -25,12 +25,13 @@
 	return bo
 }
 
-// grantOf does what the leader does with a renewal, without the files.
+// grantOf does what the leader does with a renewal that names the newest list of
+// lease holders, without the files.
 func grantOf(bo control.Book, now time.Time, rn control.Renewal, maxEntries int) (control.Book, control.Grant) {
 	bo, ok, reason := bo.WithRenewal(now, rn, maxEntries)
 	return bo, control.Grant{
 		Granted: ok, Reason: reason, LeaseMillis: bo.LeaseMillis(), Term: 1, Revision: 1, Leader: "entry-000",
-		Instances: bo.Instances(now), Entries: bo.Entries(rn.Instance),
+		Roster: rn.Roster, Entries: bo.Entries(rn.Instance),
 	}
 }
 
@@ -44,6 +45,8 @@
 			{"entry", "frame of a renewal", "bytes", Line},
 			{"leader", "frame of a grant", "bytes", Line},
 			{"leader", "a renewal: book and encoding of the grant", "processor µs", Line},
+			{"leader", "what a changed list of lease holders adds to a grant", "bytes", Line},
+			{"leader", "a changed list: making and encoding it", "processor µs", Line},
 			{"entry", "a grant: decoding and taking over", "processor µs", Line},
 			{"leader", "one look whether a change is in force", "processor µs", Line},
 			{"leader", "book of leases", "bytes held", Line},
@@ -72,14 +75,22 @@
 		if err != nil {
 			return nil, err
 		}
+		var listed []byte
+		list := spent(repetitions, func(int) {
+			listed, err = co.Encode(control.Grant{Granted: true, Instances: bo.Instances(began)})
+		})
+		if err != nil {
+			return nil, err
+		}
+		holders := bo.Instances(began)
 		me := member.New(rn.Instance, 1, began)
 		entry := spent(repetitions, func(int) {
-			ms, _ := co.Decode(frame)
-			me, _ = member.Step(me, member.Instances{Now: began, Instances: ms.(control.Grant).Instances})
+			_, _ = co.Decode(frame)
+			me, _ = member.Step(me, member.Instances{Now: began, Instances: holders})
 			me.Instances()
 		})
 		look := spent(repetitions, func(int) { bo.InForce(began, 1) })
-		return []float64{float64(len(renewal)), float64(len(frame)), leader, entry, look, book}, nil
+		return []float64{float64(len(renewal)), float64(len(frame)), leader, float64(len(listed)), list, entry, look, book}, nil
 	}
 }
 
@@ -104,15 +115,15 @@
 	return st
 }
 
-// files measures a configuration on its way: the leader sends every file of the
-// folder to each instance for each change.
+// files measures a configuration on its way: for a change of one file the leader
+// sends it to each instance with the names of all.
 func files() Measure {
 	const repetitions = 10
 	return Measure{
 		Name: "leader/files", Of: "files", Sizes: []int{9, 27, 90, 270}, Quick: []int{9, 27, 270}, Target: ControlFiles,
 		Columns: []Column{
-			{"leader", "what a change adds to a grant: all files", "bytes", Line},
-			{"leader", "encoding of a grant with all files", "processor µs", Line},
+			{"leader", "what a change of one file adds to a grant", "bytes", Line},
+			{"leader", "encoding of a grant with one file", "processor µs", Line},
 			{"entry", "a change: decoding, merging and checking all files", "processor µs", Line},
 		},
 		Take: func(_ context.Context, tr Trial) ([]float64, error) {
@@ -125,17 +136,22 @@
 			if err != nil {
 				return nil, err
 			}
+			all := st.Files()
+			names := make([]string, len(all))
+			for ix := range all {
+				names[ix] = all[ix].Name
+			}
 			var frame []byte
 			leader := spent(repetitions, func(int) {
-				frame, err = co.Encode(control.Grant{Granted: true, Revision: 1, Files: st.Files()})
+				frame, err = co.Encode(control.Grant{Granted: true, Revision: 1, Names: names, Files: all[:1]})
 			})
 			if err != nil {
 				return nil, err
 			}
 			entry := spent(repetitions, func(int) {
-				ms, _ := co.Decode(frame)
+				_, _ = co.Decode(frame)
 				var fis []operator.File
-				for _, fi := range ms.(control.Grant).Files {
+				for _, fi := range all {
 					fis = append(fis, operator.File{Name: fi.Name, Content: fi.Content})
 				}
 				operator.Merge(fis)
