fanout: what stands in for a silent request takes a proved connection

Cause: when all open connections to a service went silent at once, both replicas' slots were full of lost attempts within 80 ms: second attempts took other silent connections, a Cancel's word counted only after the wait for a late reply, and the budget of hedges was spent, so the entry refused. Weighed: the server as a whole being heard; replies over newer connections make it look heard, so the evidence is tied to the attempt's own connection.

--- a/fanout/engine_test.go
+++ b/fanout/engine_test.go
@@ -287,18 +287,22 @@
 // The connections to all backend servers go silent and the budget is spent. A
 // hedge after a third of the time is too late for the goal, while one slow reply
 // among many must not cost an extra request: the server's other replies tell.
+// When no slot is free, the lost attempt gives its own to the one in its place.
 func TestRunDoubted(t *testing.T) {
 	for _, tc := range []struct {
 		heard  bool
+		full   bool // full says that no slot is free for a hedge.
 		micros int64
-	}{{false, 10_000}, {true, 63_333}} {
+	}{{false, false, 10_000}, {true, false, 63_333}, {false, true, 11_000}} {
 		play(t, func(c *qt.C, ti *tier) {
 			ti.spare = 0
 			if tc.heard {
 				ti.heard = time.Now().Add(time.Hour)
 			}
+			ti.busy["a2"], ti.busy["b2"] = tc.full, tc.full
+			var old atomic.Int32
 			ti.reply = func(ctx context.Context, rq backend.Request, server string) (backend.Reply, error) {
-				if strings.HasSuffix(server, "1") {
+				if old.Add(1) <= 2 {
 					return hang(ctx, server)
 				}
 				return ok(rq, server), nil
@@ -307,7 +311,7 @@
 			an := ti.en.Run(c.Context(), ti.query())
 			c.Assert(brief(an), qt.Equals, "Complete [a b] []")
 			c.Assert(an.Cost.Micros, qt.Equals, tc.micros)
-			// Neither goes over a connection that was silent for half a delay.
+			// None goes over a connection that was silent for half a delay.
 			sent := start.Add(time.Duration(tc.micros) * time.Microsecond)
 			c.Assert(sent.Sub(ti.targets[2].ProvedSince).Round(time.Millisecond), qt.Equals, 5*time.Millisecond)
 		})
--- a/fanout/run.go
+++ b/fanout/run.go
@@ -229,6 +229,7 @@
 		return
 	}
 	rn.stopWaiting(ac.Attempt.Shard)
+	since := rn.provedSince(now, ac)
 	ctx, cancel := context.WithCancel(rn.base)
 	at := &rn.attempts[ac.Attempt.Number-1]
 	at.server = ch.Server
@@ -236,7 +237,7 @@
 	at.sent = now
 	at.cancel = cancel
 	rn.live.Add(1)
-	go rn.send(ctx, cancel, &sending{ask: ac, sent: now, since: rn.provedSince(now, ac), ch: ch})
+	go rn.send(ctx, cancel, &sending{ask: ac, sent: now, since: since, ch: ch})
 }
 
 // doubted reports whether nothing comes from the backend servers that have not
--- a/fanout/state.go
+++ b/fanout/state.go
@@ -50,12 +50,16 @@
 }
 
 // lastSent returns when the latest attempt of all shards was sent. One that was
-// given up counts from then, so that the one in its place has its chance.
+// given up counts from then, so that the one in its place has its chance, unless
+// only the same server is left for it.
 func (st State) lastSent() time.Duration {
 	var latest time.Duration
 	for ix := range st.plan.Shards {
 		sh := st.shards.get(ix)
-		latest = max(latest, sh.latest, sh.moved)
+		latest = max(latest, sh.latest)
+		if !sh.alone {
+			latest = max(latest, sh.moved)
+		}
 	}
 	return latest
 }
