--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,8 +7,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -17,13 +15,11 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/backend"
-	"balsamwinch.example/caller"
 	"balsamwinch.example/control"
 	"balsamwinch.example/fanout"
 	"balsamwinch.example/journal"
 	"balsamwinch.example/limit"
 	"balsamwinch.example/member"
-	"balsamwinch.example/operator"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/settings"
@@ -69,13 +65,6 @@
 	kill chan struct{}
 }
 
-// listening is one HTTP server and what it listens on.
-type listening struct {
-	name string
-	ln   net.Listener
-	sv   *http.Server
-}
-
 // New opens the data folder and listens, and serves nothing before Serve. The
 // TLS settings come from package keys.
 func New(cf settings.Instance, tl *tls.Config, ts *timer.Service, lg *zap.Logger) (*Instance, error) {
@@ -128,40 +117,6 @@
 	return nil
 }
 
-// listen opens the TCP listeners, so that addresses chosen by the kernel are
-// known before anything is told to others.
-func (in *Instance) listen() error {
-	for _, li := range []struct{ name, address string }{
-		{"Caller", in.cf.Addresses.Caller},
-		{"Backend", in.cf.Addresses.Backend},
-		{"Operator", in.cf.Addresses.Operator},
-	} {
-		if li.address == "" {
-			continue
-		}
-		ln, err := net.Listen("tcp", li.address)
-		if err != nil {
-			return err
-		}
-		in.open = append(in.open, listening{name: li.name, ln: ln})
-	}
-	return nil
-}
-
-// Address returns where the named listener (Caller, Backend, Operator or Peer)
-// listens, or "" if there is none.
-func (in *Instance) Address(name string) string {
-	if name == "Peer" {
-		return in.pe.Address()
-	}
-	for _, li := range in.open {
-		if li.name == name {
-			return li.ln.Addr().String()
-		}
-	}
-	return ""
-}
-
 func (in *Instance) self() view.Instance {
 	return view.Instance{
 		Name:            in.cf.Name,
@@ -176,54 +131,6 @@
 	}
 }
 
-// serveHTTP makes the handlers and the servers of all listeners.
-func (in *Instance) serveHTTP() {
-	in.cl = backend.NewClient(in.ts, in.lg, backend.ClientConfig{
-		SilentAfter: in.cf.Timing.SilentAfter,
-		Settled:     func(sm backend.Settlement) { in.en.Settled(sm) },
-	})
-	in.ta = limit.NewTable(in.ts, limit.TableConfig{Seed: uint64(in.ts.Now().UnixNano())})
-	ad := limit.NewAdmission(in.ts, limit.AdmissionConfig{Capacity: in.cf.Limits.LeafRequests, Room: in.ta.Room})
-	nb := func(percent float64, burst int) fanout.Budget { return limit.NewBudget(percent, burst) }
-	re := &recorder{name: in.cf.Name, la: in.la}
-	in.en = fanout.New(in.cf.Name, in.ce, in.cl, in.ta, ad, nb, re, in.ts, in.lg, fanout.NewMetrics(in.set))
-	handlers := map[string]http.Handler{
-		"Caller":   caller.New(in.ce, in.en, in.ts, in.lg),
-		"Backend":  in.announceHandler(),
-		"Operator": in.operatorHandler(),
-	}
-	for ix := range in.open {
-		li := &in.open[ix]
-		li.sv = &http.Server{
-			Handler:           handlers[li.name],
-			ReadHeaderTimeout: headerTimeout,
-			MaxHeaderBytes:    maxHeaders,
-			ErrorLog:          zap.NewStdLog(in.lg),
-		}
-	}
-}
-
-func (in *Instance) announceHandler() http.Handler {
-	mu := http.NewServeMux()
-	mu.Handle(backend.AnnouncePath, backend.NewAnnounceHandler(in.announced, in.lg))
-	return mu
-}
-
-func (in *Instance) announced(re backend.Record) backend.AnnounceReply {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	reply := make(chan backend.AnnounceReply, 1)
-	if err := in.th.post(ctx, announced{re: re, reply: reply}); err != nil {
-		return backend.AnnounceReply{Instance: in.cf.Name, RepeatMillis: renounce.Milliseconds()}
-	}
-	select {
-	case ar := <-reply:
-		return ar
-	case <-ctx.Done():
-		return backend.AnnounceReply{Instance: in.cf.Name, RepeatMillis: renounce.Milliseconds()}
-	}
-}
-
 // receive hands a message of another instance to the control thread and waits
 // for the reply if the message is a call.
 func (in *Instance) receive(ctx context.Context, from string, ms peer.Message) (peer.Message, error) {
@@ -274,55 +181,6 @@
 	return ""
 }
 
-// viewChanged passes a new view on to the parts that keep something for each
-// backend server. When the lease has run out, the connections are closed: control
-// may give this instance's share of them to another one from then on, and the
-// backend servers would see more than they allow.
-//
-// A view that only makes the lease longer, as one each renewal does, changes
-// nothing for them.
-func (in *Instance) viewChanged(vi *view.View) {
-	if in.cl == nil {
-		return
-	}
-	now := in.ts.Now()
-	connected := vi.Leased(now) || servesWithoutControl(vi.Configuration)
-	la := in.last
-	if la != nil && now.Before(in.sweepAt) && in.connected == connected && same(la.Servers, vi.Servers) && same(la.Instances, vi.Instances) &&
-		la.Configuration.Revision == vi.Configuration.Revision && la.Entries == vi.Entries {
-		return
-	}
-	in.last, in.connected, in.sweepAt = vi, connected, now.Add(sweepPeriod)
-	in.ta.Update(vi)
-	if !connected {
-		in.cl.Retain(nil)
-		return
-	}
-	in.cl.Retain(in.targets(vi))
-}
-
-func servesWithoutControl(cfg operator.Configuration) bool {
-	for _, se := range cfg.Services {
-		if se.ServeWithoutControl {
-			return true
-		}
-	}
-	return false
-}
-
-func (in *Instance) targets(vi *view.View) map[string]backend.Target {
-	tas := make(map[string]backend.Target, len(vi.Servers))
-	for _, re := range vi.Servers {
-		tas[re.Server] = backend.Target{
-			Server:      re.Server,
-			Address:     re.Address,
-			Incarnation: re.Incarnation,
-			Connections: limit.ConnectionShare(re.ConnectionLimit, vi.Divisor()),
-		}
-	}
-	return tas
-}
-
 // Stop starts a graceful stop, as a SIGTERM does.
 func (in *Instance) Stop() {
 	in.once.Do(func() { close(in.stop) })
@@ -366,13 +224,6 @@
 	return in.close()
 }
 
-// cutOff ends the HTTP servers at once. After a drain they are down already.
-func (in *Instance) cutOff() {
-	for _, li := range in.open {
-		_ = li.sv.Close()
-	}
-}
-
 // supervise starts all parts under one supervisor.
 func (in *Instance) supervise(ctx context.Context) <-chan error {
 	su := suture.New(in.cf.Name, suture.Spec{EventHook: in.supervised})
@@ -394,19 +245,6 @@
 	}
 }
 
-// Serve serves HTTP until the server is shut down.
-func (li listening) Serve(context.Context) error {
-	if err := li.sv.Serve(li.ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
-// String names the service in the log.
-func (li listening) String() string {
-	return li.name
-}
-
 // close releases what New opened.
 func (in *Instance) close() error {
 	var errs []error
--- a/instance/thread.go
+++ b/instance/thread.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -195,71 +193,6 @@
 	}
 }
 
-func (th *thread) announce(ev announced) {
-	th.member(member.Announced{Now: th.ts.Now(), Record: ev.re})
-	rp := backend.AnnounceReply{Instance: th.self.Name, RepeatMillis: renounce.Milliseconds()}
-	for _, in := range th.nearest() {
-		if !in.Draining && in.BackendAddress != "" {
-			rp.Instances = append(rp.Instances, in.BackendAddress)
-		}
-	}
-	ev.reply <- rp
-}
-
-// nearest returns the instances with those of the same data centre first.
-func (th *thread) nearest() []view.Instance {
-	ins := slices.Clone(th.instances)
-	slices.SortStableFunc(ins, func(aa, bb view.Instance) int {
-		return distance(th.self, aa) - distance(th.self, bb)
-	})
-	return ins
-}
-
-func distance(from, to view.Instance) int {
-	switch {
-	case from.DataCentre == to.DataCentre:
-		return 0
-	case from.Region == to.Region:
-		return 1
-	default:
-		return 2
-	}
-}
-
-// member gives an event to the spread of records and sends what it asks for.
-func (th *thread) member(ev member.Event) {
-	me, acs := member.Step(th.me, ev)
-	th.me = me
-	th.look()
-	for _, ac := range acs {
-		switch ac := ac.(type) {
-		case member.Send:
-			th.send(ac.To, ac.Address, ac.Message)
-		}
-	}
-}
-
-// look takes over what is known of instances and backend servers, and asks for a
-// new view only if that changed. Most events of the spread change nothing, and a
-// view costs in proportion to all backend servers.
-func (th *thread) look() {
-	servers, instances := th.me.Servers(), th.me.Instances()
-	if same(servers, th.servers) && same(instances, th.instances) {
-		return
-	}
-	th.servers, th.instances = servers, instances
-	th.dirty = true
-}
-
-// same reports whether two lists are one, as the spread gives them while nothing
-// changed.
-func same[T any](aa, bb []T) bool {
-	if len(aa) != len(bb) {
-		return false
-	}
-	return len(aa) == 0 || &aa[0] == &bb[0]
-}
-
 // send sends a one-way message to an instance. Where control instances are found
 // is the settings' word; others are found where they say.
 func (th *thread) send(name, address string, ms peer.Message) {
@@ -300,69 +233,6 @@
 	}
 }
 
-// grant takes over control's answer to a renewal. A configuration is taken only
-// upwards: a grant that was overtaken by a newer one must not revert it, and its
-// lease is still good, because the leader that gave it knew no newer revision.
-func (th *thread) grant(ev granted) {
-	if ev.gr.Leader != "" {
-		th.leader = ev.gr.Leader
-	}
-	if ev.gr.Revision > th.cfg.Revision && th.follows(ev) && !th.adopt(ev.gr) {
-		return
-	}
-	if !ev.gr.Granted {
-		return
-	}
-	until := ev.sentAt.Add(time.Duration(ev.gr.LeaseMillis) * time.Millisecond)
-	if until.After(th.lease) {
-		th.lease = until
-	}
-	th.entries = ev.gr.Entries
-	if ev.gr.Roster != th.roster.Load() {
-		th.holders = ev.gr.Instances
-		th.roster.Store(ev.gr.Roster)
-	}
-	// The same list again says that control still hears them.
-	th.member(member.Instances{Now: th.ts.Now(), Instances: th.holders})
-	th.dirty = true
-}
-
-// follows reports whether the grant's files build on those in force here. One
-// that was asked for from an older revision lists files as unchanged that did
-// change since; the next renewal brings the right ones.
-func (th *thread) follows(ev granted) bool {
-	return ev.inForce == th.cfg.Revision && len(ev.gr.Names)+len(ev.gr.Files) > 0
-}
-
-// adopt puts the files of a grant in force and reports whether it could. An
-// instance that can't read them must not use the lease that came with them.
-func (th *thread) adopt(gr control.Grant) bool {
-	files := make(map[string]control.File, len(gr.Names))
-	for _, name := range gr.Names {
-		files[name] = th.files[name]
-	}
-	for _, fi := range gr.Files {
-		files[fi.Name] = fi
-	}
-	fis := make([]operator.File, 0, len(files))
-	for _, name := range gr.Names {
-		fis = append(fis, operator.File{Name: name, Content: files[name].Content})
-	}
-	cfg, fs := operator.Merge(fis)
-	if len(fs) > 0 {
-		th.lg.Error("configuration-unreadable", zap.Uint64("Revision", gr.Revision), zap.Error(fs))
-		return false
-	}
-	cfg.Revision = gr.Revision
-	th.cfg = cfg
-	th.files = files
-	th.lg.Info("configuration-in-force", zap.Uint64("Revision", gr.Revision))
-	th.dirty = true
-	th.publish() // The renewal that is woken must name this revision.
-	th.wake()
-	return true
-}
-
 // publish makes the newest view if something in it changed.
 func (th *thread) publish() {
 	if !th.dirty {
@@ -385,12 +255,3 @@
 		th.applied(vi)
 	}
 }
-
-// maxEntries returns how many entry instances may hold a lease. Without a
-// configuration there are no services, so nothing is bounded yet.
-func maxEntries(cfg operator.Configuration) int {
-	if cfg.Limits.MaxEntries == 0 {
-		return math.MaxInt32
-	}
-	return cfg.Limits.MaxEntries
-}
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -9,7 +8,6 @@
 
 	"balsamwinch.example/control"
 	"balsamwinch.example/journal"
-	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
 )
@@ -35,20 +33,6 @@
 	replaceAfter = 4
 )
 
-// pending is a command that the leader proposed and that is not applied yet.
-type pending struct {
-	index, term uint64
-	reply       chan<- peer.Message
-}
-
-// waiting is a committed change whose operator waits until it is in force.
-type waiting struct {
-	oc    control.ChangeOutcome
-	pr    control.Progress
-	until time.Time
-	reply chan<- peer.Message
-}
-
 // voter performs what the replicated log decides: it saves, sends and applies.
 // It runs on the control thread.
 type voter struct {
@@ -110,20 +94,6 @@
 	return vo, nil
 }
 
-func (vo *voter) restoreState(index, term uint64, data []byte) error {
-	if len(data) > 0 {
-		sm, err := control.DecodeState(data)
-		if err != nil {
-			return &result.Error{Code: result.DamagedState, Op: "read snapshot", Err: err}
-		}
-		vo.sm = sm
-	}
-	vo.appliedIndex = index
-	vo.appliedTerm = term
-	vo.snapshotSize = len(data)
-	return nil
-}
-
 func (vo *voter) start(hs quorum.HardState, sn journal.Snapshot, ens []quorum.Entry) {
 	now := vo.th.ts.Now()
 	vo.formed = true
@@ -162,11 +132,6 @@
 	vo.th.lg.Info("control-formed", zap.Any("Voters", vs.Voters))
 }
 
-// firstSnapshot is the same on every voter, so that their logs start equal.
-func firstSnapshot(vs quorum.VoterSet) journal.Snapshot {
-	return journal.Snapshot{Index: 1, Term: 1, Voters: vs}
-}
-
 func (vo *voter) fail(err error) bool {
 	if err != nil && vo.failed == nil {
 		vo.failed = err
@@ -317,63 +282,6 @@
 	}
 }
 
-// answer gives an outcome to the one who waits for the entry, if any.
-func (vo *voter) answer(en quorum.Entry, oc control.Outcome) {
-	for tag, pd := range vo.proposed {
-		if pd.index != en.Index {
-			continue
-		}
-		delete(vo.proposed, tag)
-		if pd.term != en.Term {
-			pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.st.Leader())}
-			continue
-		}
-		vo.deliver(pd.reply, oc)
-	}
-}
-
-func (vo *voter) deliver(reply chan<- peer.Message, oc control.Outcome) {
-	co, ok := oc.(control.ChangeOutcome)
-	if !ok || co.Code != result.Accepted {
-		reply <- outcomeReply(oc)
-		return
-	}
-	now := vo.th.ts.Now()
-	vo.waiting = append(vo.waiting, waiting{
-		oc:    co,
-		pr:    control.NewProgress().WithOutcome(co),
-		until: now.Add(inForceWait),
-		reply: reply,
-	})
-	vo.settle(now)
-}
-
-func outcomeReply(oc control.Outcome) control.ProposalReply {
-	data, err := control.EncodeOutcome(oc)
-	if err != nil {
-		return control.ProposalReply{Code: result.ControlUnavailable}
-	}
-	return control.ProposalReply{Code: result.Accepted, Outcome: data}
-}
-
-// settle answers operators whose change is in force by now, or whose patience
-// has run out.
-func (vo *voter) settle(now time.Time) {
-	if len(vo.waiting) == 0 {
-		return
-	}
-	vo.waiting = slices.DeleteFunc(vo.waiting, func(wa waiting) bool {
-		if all, _ := vo.bo.InForce(now, wa.oc.Revision); all && vo.leads(now) {
-			wa.pr, _ = wa.pr.With(control.EventInForce)
-		}
-		if !wa.pr.Done() && now.Before(wa.until) && vo.role == quorum.Leader {
-			return false
-		}
-		wa.reply <- outcomeReply(wa.oc.At(wa.pr))
-		return true
-	})
-}
-
 // leads reports whether this voter may act as the leader: no other can exist
 // until its lease ends, and it has applied an entry of its own term, and with it
 // all that earlier leaders committed.
@@ -381,24 +289,6 @@
 	return vo.formed && vo.role == quorum.Leader && vo.appliedTerm == vo.st.Term() && now.Before(vo.st.LeaseUntil())
 }
 
-func (vo *voter) appended(ac quorum.Appended) {
-	pd, ok := vo.proposed[ac.Tag]
-	if !ok {
-		return
-	}
-	pd.index, pd.term = ac.Index, ac.Term
-	vo.proposed[ac.Tag] = pd
-}
-
-func (vo *voter) refused(ac quorum.Refused) {
-	pd, ok := vo.proposed[ac.Tag]
-	if !ok {
-		return
-	}
-	delete(vo.proposed, ac.Tag)
-	pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(ac.Leader)}
-}
-
 // roleChanged starts a new book of leases when this voter becomes the leader,
 // and tells those who wait that the outcome is unknown when it no longer is.
 func (vo *voter) roleChanged(ac quorum.RoleChanged) {
@@ -424,60 +314,6 @@
 	}
 }
 
-// abandon answers all who wait at a leader that was deposed: their commands may
-// or may not be committed, and they ask the next leader by resending.
-func (vo *voter) abandon() {
-	for tag, pd := range vo.proposed {
-		delete(vo.proposed, tag)
-		pd.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.leader)}
-	}
-	for _, wa := range vo.waiting {
-		wa.reply <- control.ProposalReply{Code: result.NotLeader, Leader: nameOf(vo.leader)}
-	}
-	vo.waiting = nil
-}
-
-func (vo *voter) snapshot() {
-	data, err := vo.sm.Encode()
-	if vo.fail(err) {
-		return
-	}
-	sn := journal.Snapshot{
-		Index:  vo.appliedIndex,
-		Term:   vo.appliedTerm,
-		Voters: vo.st.VotersAt(vo.appliedIndex),
-		Data:   data,
-	}
-	if vo.fail(vo.jo.SaveSnapshot(sn)) {
-		return
-	}
-	vo.changesSince, vo.bytesSince, vo.snapshotSize = 0, 0, len(data)
-	vo.step(quorum.Compacted{Index: sn.Index})
-}
-
-func (vo *voter) sendSnapshot(to quorum.ID) {
-	data, err := vo.sm.Encode()
-	if vo.fail(err) {
-		return
-	}
-	vo.step(quorum.SnapshotReady{
-		Now:    vo.th.ts.Now(),
-		To:     to,
-		Index:  vo.appliedIndex,
-		Term:   vo.appliedTerm,
-		Voters: vo.st.VotersAt(vo.appliedIndex),
-		Data:   data,
-	})
-}
-
-func (vo *voter) restore(ac quorum.Restore) {
-	sn := journal.Snapshot{Index: ac.Index, Term: ac.Term, Voters: ac.Voters, Data: ac.Data}
-	if vo.fail(vo.jo.SaveSnapshot(sn)) {
-		return
-	}
-	vo.fail(vo.restoreState(ac.Index, ac.Term, ac.Data))
-}
-
 func (vo *voter) resign() {
 	if vo.formed {
 		vo.step(quorum.Resign{Now: vo.th.ts.Now()})
