limit, fanout: one rule which backend servers a service selects

Cause: the selector stood twice, in limit.selects and fanout.Selects, and would have drifted apart. Change: fanout adds the server's state to limit.Selects. Checked: go test ./limit ./fanout ./cmd/balsamload pass.

--- a/cmd/balsamload/main.go
+++ b/cmd/balsamload/main.go
@@ -36,7 +36,7 @@
         write the operators' files of an experiment
   balsamload once -callers A,B [-json] SERVICE
         send one query and print its answer
-  balsamload capacity [-json] [-runs N] [-list] [NAME...]
+  balsamload capacity [-quick] [-json] [-runs N] [-role ROLE] [-sizes A,B,C] [-list] [NAME...]
         measure slopes and print them as a table for docs/CAPACITY.md
   balsamload help
         print this text
--- a/fanout/route.go
+++ b/fanout/route.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"balsamwinch.example/backend"
+	"balsamwinch.example/limit"
 	"balsamwinch.example/operator"
 	"balsamwinch.example/snapshot"
 	"balsamwinch.example/view"
@@ -14,22 +15,10 @@
 
 // Selects reports whether the service gives new work to the backend server.
 func Selects(se operator.Service, re *backend.Record) bool {
-	if re.State == backend.Draining || re.State == backend.Left || slices.Contains(se.Exclude, re.Server) {
+	if re.State == backend.Draining || re.State == backend.Left {
 		return false
 	}
-	sl := &se.Selector
-	if sl.Service != "" && sl.Service != re.Service {
-		return false
-	}
-	if len(sl.DataCentres) > 0 && !slices.Contains(sl.DataCentres, re.DataCentre) {
-		return false
-	}
-	for key, va := range sl.Labels {
-		if re.Labels[key] != va {
-			return false
-		}
-	}
-	return true
+	return limit.Selects(se, re)
 }
 
 // Holdings returns what snapshot.Choose needs to know of a service.
--- a/limit/group.go
+++ b/limit/group.go
@@ -51,7 +51,7 @@
 	return func(yield func(operator.Service) bool) {
 		for _, ses := range [][]operator.Service{wa.named[re.Service], wa.other} {
 			for _, se := range ses {
-				if selects(se, re) && !yield(se) {
+				if Selects(se, re) && !yield(se) {
 					return
 				}
 			}
--- a/limit/share.go
+++ b/limit/share.go
@@ -40,7 +40,7 @@
 	scarcest := 0
 	for ix := range servers {
 		re := &servers[ix]
-		if re.Slots > 0 && (scarcest == 0 || re.Slots < scarcest) && selects(se, re) {
+		if re.Slots > 0 && (scarcest == 0 || re.Slots < scarcest) && Selects(se, re) {
 			scarcest = re.Slots
 		}
 	}
@@ -112,8 +112,9 @@
 	return xxhash.Sum64String(service + "\x00" + name)
 }
 
-// selects reports whether the service's selector matches the server.
-func selects(se operator.Service, re *backend.Record) bool {
+// Selects reports whether the operators gave the service the backend server,
+// whatever its state.
+func Selects(se operator.Service, re *backend.Record) bool {
 	sl := se.Selector
 	if sl.Service != "" && sl.Service != re.Service {
 		return false
