instance: follow a revision without files

Cause: a grant for a revision whose last file was deleted names no files, and an instance took that for a grant without news: the change never came in force and the lease was refused as behind (scenario files-deleted, 66 s: no match of 'revision 2'). Change: the grant says whether its revision is newer.

--- a/control/message.go
+++ b/control/message.go
@@ -42,9 +42,10 @@
 	Reason      string // Reason says why the lease is not granted.
 	Term        uint64
 	Revision    uint64
-	// Names are all accepted files and Files those of them that changed since
-	// Renewal.InForce; both are empty if nothing did. An instance keeps the files
+	// Newer says that Revision is above Renewal.InForce. Then Names are all accepted
+	// files and Files those of them that changed since; an instance keeps the files
 	// that Names lists and Files does not.
+	Newer bool
 	Names []string
 	Files []File
 	// Roster is the digest of the list of lease holders, and Instances the list,
--- a/instance/configuration.go
+++ b/instance/configuration.go
@@ -42,7 +42,7 @@
 // that was asked for from an older revision lists files as unchanged that did
 // change since; the next renewal brings the right ones.
 func (th *thread) follows(ev granted) bool {
-	return ev.inForce == th.cfg.Revision && len(ev.gr.Names)+len(ev.gr.Files) > 0
+	return ev.inForce == th.cfg.Revision && ev.gr.Newer
 }
 
 // adopt puts the files of a grant in force and reports whether it could. An
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -37,6 +37,7 @@
 	}
 	gr.Entries = bo.Entries(rn.Instance)
 	if gr.Revision > rn.InForce {
+		gr.Newer = true
 		gr.Names, gr.Files = changedSince(vo.sm.Files(), rn.InForce)
 	}
 	vo.settle(now)
