fanout: sheds don't give a shard up while there is time

Cause: with one replica killed and another stuck, the budget of retries was spent, and all callers waited for it to grow, which only new requests make it do: each waited until its deadline. Four sheds also counted as four failures.

--- a/fanout/late.go
+++ b/fanout/late.go
@@ -29,10 +29,17 @@
 
 // again asks for a shard that waited.
 func (tu *turn) again(ix int, sh shard) {
-	if sh.fails == 0 {
+	if sh.fails+sh.sheds == 0 {
 		tu.ask(ix, sh, First, sh.gate, false)
 		return
 	}
+	// The budget grows with new requests. When all callers wait for one, it does
+	// not grow, and each would wait until its deadline. So a shard that nobody is
+	// asked for is owed one attempt beyond the budget after a third of the time.
+	if sh.gate == Gated && !sh.forced && tu.now >= tu.st.finish()/owedShare {
+		sh.gate = Owed
+		sh.forced = true
+	}
 	// The server that has dropped the snapshot does not get it back.
 	tu.ask(ix, sh, Retry, sh.gate, sh.reason == VersionGone)
 }
@@ -48,7 +55,7 @@
 // hedge asks another replica for a shard whose attempt is late. A request that
 // must not be repeated is never hedged.
 func (tu *turn) hedge(ix int, sh shard) {
-	if !tu.st.ru.Repeatable || tu.st.ru.Tactics == operator.Baseline || sh.runs() > 1 || sh.sent > maxFails {
+	if !tu.st.ru.Repeatable || tu.st.ru.Tactics == operator.Baseline || sh.runs() > 1 || sh.sent-sh.sheds > maxFails {
 		sh.wake = never
 		tu.put(ix, sh)
 		return
--- a/fanout/reply.go
+++ b/fanout/reply.go
@@ -123,7 +123,12 @@
 	if !fa.left && ru.gate >= Doubted || !fa.begun && ru.gate == Doubted {
 		sh.forced = false
 	}
-	if fa.reason != Busy {
+	if fa.reason == Shed && tu.st.ru.Policy == operator.Complete && tu.st.ru.Tactics != operator.Baseline && sh.sheds < maxSheds {
+		// A server that sheds has begun nothing and may have a slot free soon, and
+		// the policy is to wait: that is no failure that gives the shard up.
+		sh.sheds++
+		sh.forced = sh.forced && ru.gate != Owed
+	} else if fa.reason != Busy {
 		sh.fails++
 	}
 	sh.begun = sh.begun || fa.begun
--- a/fanout/state.go
+++ b/fanout/state.go
@@ -92,6 +92,7 @@
 	forced  bool  // forced says that its one attempt beyond the budget is used.
 	alone   bool  // alone says that no other replica could take the hedge.
 	sent    uint8 // sent counts the attempts that left or still run.
+	sheds   uint8 // sheds counts those of them that found no slot free.
 	fails   uint8
 	waits   uint8
 	blind   uint8  // blind counts the waits for a server that is not known yet.
--- a/fanout/step.go
+++ b/fanout/step.go
@@ -11,6 +11,9 @@
 const (
 	// maxFails is after how many failures a shard is given up.
 	maxFails = 4
+	// maxSheds is how many replies without a free slot don't count as failures,
+	// under the policy that waits for all shards.
+	maxSheds = 100
 	// fewFails is the same for the Baseline tactics, which retry once, and for
 	// backend servers that say that the request fails.
 	fewFails = 2
