--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/control"
-	"balsamwinch.example/journal"
 	"balsamwinch.example/load"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/view"
+	"balsamwinch.example/wal"
 )
 
 var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
@@ -213,7 +213,7 @@
 }
 
 func fillFolder(b *testing.B, dir string, changes int, snapshot bool) control.State {
-	jo, _, err := journal.Open(dir, zap.NewNop())
+	jo, _, err := wal.Open(dir, zap.NewNop())
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -242,7 +242,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			if err := jo.SaveSnapshot(journal.Snapshot{Index: st.Index(), Term: 1, Data: data}); err != nil {
+			if err := jo.SaveSnapshot(wal.Snapshot{Index: st.Index(), Term: 1, Data: data}); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -252,7 +252,7 @@
 }
 
 func recoverState(b *testing.B, dir string) control.State {
-	jo, re, err := journal.Open(dir, zap.NewNop())
+	jo, re, err := wal.Open(dir, zap.NewNop())
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,7 +17,6 @@
 	"balsamwinch.example/backend"
 	"balsamwinch.example/control"
 	"balsamwinch.example/fanout"
-	"balsamwinch.example/journal"
 	"balsamwinch.example/limit"
 	"balsamwinch.example/member"
 	"balsamwinch.example/peer"
@@ -25,6 +24,7 @@
 	"balsamwinch.example/settings"
 	"balsamwinch.example/timer"
 	"balsamwinch.example/view"
+	"balsamwinch.example/wal"
 )
 
 // Times of the HTTP servers.
@@ -47,7 +47,7 @@
 	set  *metrics.Set
 	pe   *peer.Peer
 	th   *thread
-	jo   *journal.Journal
+	jo   *wal.Journal
 	rn   *renewer
 	fo   *former
 	la   *leaderAsker
@@ -103,7 +103,7 @@
 	if !in.cf.Has(settings.Control) {
 		return nil
 	}
-	jo, rc, err := journal.Open(in.cf.DataFolder, in.lg)
+	jo, rc, err := wal.Open(in.cf.DataFolder, in.lg)
 	if err != nil {
 		return err
 	}
--- a/instance/snapshots.go
+++ b/instance/snapshots.go
@@ -2,9 +2,9 @@
 
 import (
 	"balsamwinch.example/control"
-	"balsamwinch.example/journal"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
+	"balsamwinch.example/wal"
 )
 
 func (vo *voter) restoreState(index, term uint64, data []byte) error {
@@ -22,8 +22,8 @@
 }
 
 // firstSnapshot is the same on every voter, so that their logs start equal.
-func firstSnapshot(vs quorum.VoterSet) journal.Snapshot {
-	return journal.Snapshot{Index: 1, Term: 1, Voters: vs}
+func firstSnapshot(vs quorum.VoterSet) wal.Snapshot {
+	return wal.Snapshot{Index: 1, Term: 1, Voters: vs}
 }
 
 func (vo *voter) snapshot() {
@@ -31,7 +31,7 @@
 	if vo.fail(err) {
 		return
 	}
-	sn := journal.Snapshot{
+	sn := wal.Snapshot{
 		Index:  vo.appliedIndex,
 		Term:   vo.appliedTerm,
 		Voters: vo.st.VotersAt(vo.appliedIndex),
@@ -60,7 +60,7 @@
 }
 
 func (vo *voter) restore(ac quorum.Restore) {
-	sn := journal.Snapshot{Index: ac.Index, Term: ac.Term, Voters: ac.Voters, Data: ac.Data}
+	sn := wal.Snapshot{Index: ac.Index, Term: ac.Term, Voters: ac.Voters, Data: ac.Data}
 	if vo.fail(vo.jo.SaveSnapshot(sn)) {
 		return
 	}
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/control"
-	"balsamwinch.example/journal"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
+	"balsamwinch.example/wal"
 )
 
 // Bounds of a voter.
@@ -39,7 +39,7 @@
 	th     *thread
 	id     quorum.ID
 	boot   uint64
-	jo     *journal.Journal
+	jo     *wal.Journal
 	formed bool
 	st     quorum.State
 	sm     control.State
@@ -73,7 +73,7 @@
 
 // newVoter returns the voter of an opened data folder. It takes part once the
 // tier is formed.
-func newVoter(th *thread, jo *journal.Journal, rc journal.Recovered) (*voter, error) {
+func newVoter(th *thread, jo *wal.Journal, rc wal.Recovered) (*voter, error) {
 	vo := &voter{
 		th:        th,
 		id:        diskID(th.cf.Name, rc.DiskID),
@@ -94,7 +94,7 @@
 	return vo, nil
 }
 
-func (vo *voter) start(hs quorum.HardState, sn journal.Snapshot, ens []quorum.Entry) {
+func (vo *voter) start(hs quorum.HardState, sn wal.Snapshot, ens []quorum.Entry) {
 	now := vo.th.ts.Now()
 	vo.formed = true
 	vo.st = quorum.New(quorum.Config{
@@ -120,7 +120,7 @@
 		return
 	}
 	if len(vs.Voters) == 0 {
-		vo.start(quorum.HardState{}, journal.Snapshot{}, nil)
+		vo.start(quorum.HardState{}, wal.Snapshot{}, nil)
 		return
 	}
 	sn := firstSnapshot(vs)
--- a/journal/journal_test.go
+++ b/wal/wal_test.go
@@ -0,0 +1,352 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"pgregory.net/rapid"
+
+	"balsamwinch.example/quorum"
+	"balsamwinch.example/result"
+)
+
+const (
+	folder = "data"
+	limit  = 100
+)
+
+func mustOpen(tb testing.TB, di *disk) (*Journal, Recovered) {
+	tb.Helper()
+	jo, re, err := open(di, folder, zap.NewNop(), limit)
+	qt.Assert(tb, err, qt.IsNil)
+	return jo, re
+}
+
+// entry gives an entry whose data tells entries of other terms apart.
+func entry(index, term uint64) quorum.Entry {
+	return quorum.Entry{Index: index, Term: term, Data: []byte(fmt.Sprintf("%d in %d", index, term))}
+}
+
+func entries(from, to, term uint64) []quorum.Entry {
+	var ens []quorum.Entry
+	for in := from; in <= to; in++ {
+		ens = append(ens, entry(in, term))
+	}
+	return ens
+}
+
+func lost([]byte) []byte { return nil }
+
+// filled makes a disk with 9 entries in several segments and a vote.
+func filled(tb testing.TB) *disk {
+	di := newDisk()
+	jo, _ := mustOpen(tb, di)
+	for in := uint64(1); in <= 9; in++ {
+		qt.Assert(tb, jo.Save(quorum.Save{Hard: &quorum.HardState{Term: 3, Vote: "b"}, Entries: entries(in, in, 3)}), qt.IsNil)
+	}
+	qt.Assert(tb, jo.Close(), qt.IsNil)
+	return di
+}
+
+func segments(di *disk) []string {
+	var ses []string
+	names, _ := di.ReadDir(folder)
+	for _, na := range names {
+		if strings.HasPrefix(na, segmentPrefix) {
+			ses = append(ses, filepath.Join(folder, na))
+		}
+	}
+	return ses
+}
+
+// A voter grants its vote, the machine loses power and comes back. If the vote
+// was only in the page cache it is gone, the voter votes again in the same term,
+// and two leaders of one term both say "accepted". Cause: no sync before the
+// answer.
+func TestSaveSurvivesCrash(t *testing.T) {
+	c := qt.New(t)
+	di := newDisk()
+	jo, first := mustOpen(t, di)
+	c.Assert(jo.Save(quorum.Save{Hard: &quorum.HardState{Term: 7, Vote: "a"}, Entries: entries(1, 2, 7)}), qt.IsNil)
+	_, re := mustOpen(t, di.crash(lost))
+	c.Check(re.Hard, qt.Equals, quorum.HardState{Term: 7, Vote: "a"})
+	c.Check(re.Entries, qt.DeepEquals, entries(1, 2, 7))
+	c.Check(re.DiskID, qt.Equals, first.DiskID)
+	c.Check([]uint64{first.Boot, re.Boot}, qt.DeepEquals, []uint64{1, 2})
+}
+
+// The power goes while a record is written. The rest of a write stands at the
+// end of the last segment, cut short or with sectors that read as zeros. The
+// voter must start again with all that it had acknowledged, and go on.
+func TestTornTailIsCut(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		torn func([]byte) []byte
+	}{
+		{"half of the head", func(da []byte) []byte { return da[:headBytes/2] }},
+		{"half of the body", func(da []byte) []byte { return da[:headBytes+5] }},
+		{"zeros", func(da []byte) []byte { return make([]byte, len(da)) }},
+		{"a sector of zeros", func(da []byte) []byte { return append(make([]byte, sectorBytes), da[sectorBytes:]...) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			di := filled(t)
+			di.fail = func(op, _ string) error {
+				if op == "sync" {
+					return syscall.EIO
+				}
+				return nil
+			}
+			jo := mustAppend(t, di)
+			big := quorum.Entry{Index: 10, Term: 3, Data: make([]byte, 4*sectorBytes)}
+			for i := range big.Data {
+				big.Data[i] = 'x'
+			}
+			c.Assert(jo.Save(quorum.Save{Entries: []quorum.Entry{big}}), qt.IsNotNil)
+
+			after := di.crash(tc.torn)
+			co, logs := observer.New(zap.WarnLevel)
+			jo, re, err := open(after, folder, zap.New(co), 1<<20)
+			c.Assert(err, qt.IsNil)
+			c.Check(re.Entries, qt.DeepEquals, entries(1, 9, 3))
+			c.Check(re.TornBytes > 0, qt.IsTrue)
+			c.Check(logs.FilterMessage("journal.torn_tail").Len(), qt.Equals, 1)
+			c.Assert(jo.Save(quorum.Save{Entries: entries(10, 10, 4)}), qt.IsNil)
+			_, re = mustOpen(t, after)
+			c.Check(re.Entries, qt.DeepEquals, append(entries(1, 9, 3), entry(10, 4)))
+		})
+	}
+}
+
+// mustAppend opens a disk without failures and with room in the last segment.
+func mustAppend(tb testing.TB, di *disk) *Journal {
+	fail := di.fail
+	di.fail = nil
+	jo, _, err := open(di, folder, zap.NewNop(), 1<<20)
+	qt.Assert(tb, err, qt.IsNil)
+	di.fail = fail
+	return jo
+}
+
+// A sector of the disk goes bad under a record that was synced long ago. If the
+// reader took it for a torn tail, the voter would start with a shorter log and
+// an older vote, and entries that a majority acknowledged could be gone. Every
+// bit of every file counts, the last record too.
+func TestDamageIsRefused(t *testing.T) {
+	c := qt.New(t)
+	di := filled(t)
+	c.Assert(len(segments(di)) > 2, qt.IsTrue)
+	for na := range di.names {
+		for at := range di.names[na].data {
+			bad := di.crash(lost)
+			bad.names[na].data[at] ^= 0x10
+			_, _, err := open(bad, folder, zap.NewNop(), limit)
+			var re *result.Error
+			c.Assert(errors.As(err, &re), qt.IsTrue, qt.Commentf("%s, byte %d: %v", na, at, err))
+			c.Assert(re.Code, qt.Equals, result.DamagedState)
+			c.Assert(re.Detail, qt.Matches, "file "+filepath.Base(na)+`, offset \d+: .*`)
+		}
+	}
+}
+
+// A whole sector under an older record reads as zeros, as the rest of a write
+// that a crash cut short does. The whole record behind it tells the two apart.
+func TestZeroedSectorInTheMiddleIsRefused(t *testing.T) {
+	di := newDisk()
+	jo := mustAppend(t, di)
+	for in := uint64(1); in <= 2; in++ {
+		en := quorum.Entry{Index: in, Term: 1, Data: []byte(strings.Repeat("x", 4*sectorBytes))}
+		qt.Assert(t, jo.Save(quorum.Save{Entries: []quorum.Entry{en}}), qt.IsNil)
+	}
+	clear(di.names[segments(di)[0]].data[sectorBytes : 2*sectorBytes])
+	_, _, err := open(di, folder, zap.NewNop(), limit)
+	qt.Assert(t, err, qt.ErrorMatches, `journal: open: DamagedState \(402\): file segment-.*, offset \d+: the checksum is wrong`)
+}
+
+// Someone deletes files to make room, or restores half of a backup. The voter
+// must say so and not start with what is left.
+func TestMissingFilesAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		remove func(di *disk) string
+	}{
+		{"identity", func(*disk) string { return filepath.Join(folder, identityName) }},
+		{"snapshot", func(*disk) string { return filepath.Join(folder, snapshotName) }},
+		{"segment in the middle", func(di *disk) string { return segments(di)[1] }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			di := filled(t)
+			jo, _ := mustOpen(t, di)
+			qt.Assert(t, jo.SaveSnapshot(Snapshot{Index: 4, Term: 3}), qt.IsNil)
+			delete(di.names, tc.remove(di))
+			_, _, err := open(di, folder, zap.NewNop(), limit)
+			qt.Assert(t, err, qt.ErrorMatches, `journal: open: DamagedState \(402\): file .*`)
+		})
+	}
+	di := filled(t)
+	jo, _ := mustOpen(t, di)
+	for term := uint64(4); term < 12; term++ { // segments without entries leave no gap in the log
+		qt.Assert(t, jo.Save(quorum.Save{Hard: &quorum.HardState{Term: term}}), qt.IsNil)
+	}
+	votes := di.crash(lost)
+	delete(votes.names, segments(votes)[len(segments(votes))-2])
+	_, _, err := open(votes, folder, zap.NewNop(), limit)
+	qt.Assert(t, err, qt.ErrorMatches, `.*want record \d+, got \d+`)
+	for _, se := range segments(di) {
+		delete(di.names, se)
+	}
+	_, _, err = open(di, folder, zap.NewNop(), limit)
+	qt.Assert(t, err, qt.ErrorMatches, `.*segments are missing`)
+}
+
+// The disk is full, or a sync fails. The kernel may then drop the pages and
+// report success at the next sync. A voter that went on would acknowledge
+// entries after a hole.
+func TestFailureStopsJournal(t *testing.T) {
+	for _, op := range []string{"write", "sync"} {
+		t.Run(op, func(t *testing.T) {
+			c := qt.New(t)
+			di := newDisk()
+			jo := mustAppend(t, di)
+			c.Assert(jo.Save(quorum.Save{Entries: entries(1, 1, 1)}), qt.IsNil)
+			di.fail = func(at, _ string) error {
+				if at == op {
+					return syscall.ENOSPC
+				}
+				return nil
+			}
+			c.Check(jo.Save(quorum.Save{Entries: entries(2, 2, 1)}), qt.ErrorMatches, `journal: save: StorageFailed .*no space left.*`)
+			di.fail = nil
+			c.Check(jo.Save(quorum.Save{Entries: entries(2, 2, 1)}), qt.ErrorMatches, `.*StorageFailed.*`)
+			c.Check(jo.SaveSnapshot(Snapshot{Index: 1, Term: 1}), qt.ErrorMatches, `.*StorageFailed.*`)
+			_, re := mustOpen(t, di.crash(lost))
+			c.Check(re.Entries, qt.DeepEquals, entries(1, 1, 1))
+		})
+	}
+}
+
+// A voter that was cut off for long is sent a snapshot whose log is another one
+// than its own. Its own entries after that index never were committed: if they
+// came back after a restart, it would look more up to date than it is.
+func TestSnapshotOfAnotherLog(t *testing.T) {
+	c := qt.New(t)
+	di := filled(t)
+	jo, _ := mustOpen(t, di)
+	sn := Snapshot{Index: 5, Term: 4, Voters: quorum.VoterSet{Voters: []quorum.ID{"a"}}, Data: []byte("state")}
+	c.Assert(jo.SaveSnapshot(sn), qt.IsNil)
+	c.Assert(jo.Save(quorum.Save{Entries: entries(6, 6, 4)}), qt.IsNil)
+	c.Check(segments(di), qt.HasLen, 1)
+	_, re := mustOpen(t, di)
+	c.Check(re.Snapshot, qt.DeepEquals, sn)
+	c.Check(re.Entries, qt.DeepEquals, entries(6, 6, 4))
+	c.Check(re.Hard, qt.Equals, quorum.HardState{Term: 3, Vote: "b"})
+}
+
+func TestFolderOpensOnce(t *testing.T) {
+	c := qt.New(t)
+	dir := filepath.Join(t.TempDir(), "new")
+	jo, _, err := Open(dir, zap.NewNop())
+	c.Assert(err, qt.IsNil)
+	_, _, err = Open(dir, zap.NewNop())
+	c.Check(err, qt.ErrorMatches, `(?s).*StorageFailed.*another process has the folder open.*`)
+	c.Assert(jo.Save(quorum.Save{Entries: entries(1, 1, 1)}), qt.IsNil)
+	c.Assert(jo.SaveSnapshot(Snapshot{Index: 1, Term: 1, Data: []byte("x")}), qt.IsNil)
+	c.Assert(jo.Close(), qt.IsNil)
+	c.Check(jo.Save(quorum.Save{}), qt.ErrorMatches, `.*closed`)
+	_, re, err := Open(dir, zap.NewNop())
+	c.Assert(err, qt.IsNil)
+	c.Check(re.Snapshot.Data, qt.DeepEquals, []byte("x"))
+}
+
+// model is what a journal must hold.
+type model struct {
+	hard     quorum.HardState
+	snapshot Snapshot
+	entries  []quorum.Entry
+}
+
+func (mo model) last() uint64 {
+	return mo.snapshot.Index + uint64(len(mo.entries))
+}
+
+func (mo model) withSave(sv quorum.Save) model {
+	if sv.Hard != nil {
+		mo.hard = *sv.Hard
+	}
+	if sv.TruncateFrom != 0 {
+		mo.entries = mo.entries[:sv.TruncateFrom-mo.snapshot.Index-1]
+	}
+	mo.entries = append(mo.entries[:len(mo.entries):len(mo.entries)], sv.Entries...)
+	return mo
+}
+
+func (mo model) withSnapshot(sn Snapshot) model {
+	var after []quorum.Entry
+	if at := int(sn.Index - mo.snapshot.Index); at <= len(mo.entries) && mo.entries[at-1].Term == sn.Term {
+		after = mo.entries[at:]
+	}
+	mo.snapshot, mo.entries = sn, after
+	return mo
+}
+
+// Whatever fails and whenever the power goes, the journal comes back with all
+// that it acknowledged, and at most the one call that was cut short.
+func TestRecoversWhatWasAcknowledged(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		di := newDisk()
+		var mo, may model // may is mo with the call that failed
+		for range rapid.IntRange(1, 6).Draw(rt, "boots") {
+			jo, re, err := open(di, folder, zap.NewNop(), limit)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			got := model{hard: re.Hard, snapshot: re.Snapshot, entries: re.Entries}
+			if fmt.Sprint(got) != fmt.Sprint(may) && fmt.Sprint(got) != fmt.Sprint(mo) {
+				rt.Fatalf("acknowledged %v, maybe %v, got %v", mo, may, got)
+			}
+			mo = got
+			countdown := rapid.IntRange(0, 40).Draw(rt, "failure")
+			di.fail = func(string, string) error {
+				if countdown--; countdown < 0 {
+					return syscall.EIO
+				}
+				return nil
+			}
+			for may, err = mo, error(nil); err == nil; {
+				mo = may
+				if may, err = step(rt, jo, mo); rapid.IntRange(0, 9).Draw(rt, "stop") == 0 {
+					break
+				}
+			}
+			if err == nil {
+				mo = may
+			}
+			cut := rapid.IntRange(0, 60).Draw(rt, "torn")
+			di = di.crash(func(da []byte) []byte { return da[:min(cut, len(da))] })
+		}
+	})
+}
+
+// step does one random call and returns the model after it.
+func step(rt *rapid.T, jo *Journal, mo model) (model, error) {
+	term := rapid.Uint64Range(1, 3).Draw(rt, "term")
+	if rapid.IntRange(0, 4).Draw(rt, "kind") == 0 {
+		sn := Snapshot{Index: mo.snapshot.Index + rapid.Uint64Range(1, 8).Draw(rt, "snapshot"), Term: term}
+		return mo.withSnapshot(sn), jo.SaveSnapshot(sn)
+	}
+	sv := quorum.Save{Hard: &quorum.HardState{Term: term, Vote: "v"}}
+	from := mo.last() + 1
+	if le := len(mo.entries); le > 0 && rapid.Bool().Draw(rt, "truncate") {
+		from -= rapid.Uint64Range(1, uint64(le)).Draw(rt, "back")
+		sv.TruncateFrom = from
+	}
+	sv.Entries = entries(from, from+rapid.Uint64Range(0, 4).Draw(rt, "entries")-1, term)
+	return mo.withSave(sv), jo.Save(sv)
+}
