--- a/cmd/balsamwinch/main.go
+++ b/cmd/balsamwinch/main.go
@@ -28,6 +28,7 @@
 Usage:
   balsamwinch run -settings FILE     run one instance until SIGTERM
   balsamwinch check -settings FILE   check a settings file
+  balsamwinch platform               run one instance of the routed tier on the users' platform
   balsamwinch demo [-once]           run a whole tier with emulated backend servers
   balsamwinch help                   print this text
 
@@ -53,6 +54,8 @@
 		err = runInstance(ctx, args[1:], out, errOut)
 	case "check":
 		err = checkSettings(args[1:], out, errOut)
+	case "platform":
+		err = runPlatform(ctx, args[1:], out, errOut)
 	case "demo":
 		err = demo(ctx, args[1:], out, errOut)
 	case "help", "-h", "-help", "--help":
--- /dev/null
+++ b/cmd/balsamwinch/platform.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/platform"
+	"balsamwinch.example/result"
+	"balsamwinch.example/tier"
+	"balsamwinch.example/timer"
+)
+
+// runPlatform runs one instance of the routed tier as the users' platform starts
+// it: the environment names the settings file.
+func runPlatform(ctx context.Context, args []string, out, errOut io.Writer) error {
+	fl := flag.NewFlagSet("platform", flag.ContinueOnError)
+	fl.SetOutput(errOut)
+	file := fl.String("settings", os.Getenv(platform.SettingsVariable), "settings `file`")
+	if err := fl.Parse(args); err != nil {
+		return usageOf(err)
+	}
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		return &result.Error{Code: result.BadSettings, Op: "read settings", Detail: *file, Err: err}
+	}
+	se, err := tier.Parse(*file, data)
+	if err != nil {
+		return err
+	}
+	lg := newLogger(out, "info").With(zap.String("Instance", se.Name))
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	changes := make(chan tier.Settings)
+	go tier.Watch(ctx, timer.New(), *file, again, changes, lg)
+	return tier.Run(ctx, se, changes, platform.Dialect{}, lg)
+}
--- /dev/null
+++ b/feed/message.go
@@ -0,0 +1,142 @@
+// Package feed is what control instances tell entry instances, and the other way
+// round: the configuration in force, the backend servers, the control instances
+// and the entry instances.
+//
+// An entry instance keeps one link to every control instance. The first message
+// on a link is the entry instance's Subscribe; the control instance answers with
+// the whole Picture and then sends an Update for each change. A configuration is
+// announced by its version to all and fetched by each entry instance from one
+// control instance. The package decides neither which configuration is newest
+// (the control instances agree on it elsewhere) nor which backend server is asked.
+package feed
+
+import (
+	"balsamwinch.example/peer"
+	"balsamwinch.example/registry"
+)
+
+// The kinds of the messages of this package.
+const (
+	kindSubscribe = peer.KindFeed + iota
+	kindStanding
+	kindFetch
+	kindDocument
+	kindPicture
+	kindUpdate
+)
+
+// EntryState says what an entry instance does with callers.
+type EntryState uint8
+
+const (
+	// Starting says that the instance cannot serve callers yet.
+	Starting EntryState = iota
+	// Ready says that callers may connect.
+	Ready
+	// Draining says that the instance finishes what it has and takes no new callers.
+	Draining
+)
+
+// String returns the state's name.
+func (es EntryState) String() string {
+	switch es {
+	case Starting:
+		return "Starting"
+	case Ready:
+		return "Ready"
+	case Draining:
+		return "Draining"
+	default:
+		return "Unknown"
+	}
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	Name       string     `cbor:"1,keyasint"`
+	DataCentre string     `cbor:"2,keyasint,omitempty"`
+	Address    string     `cbor:"3,keyasint,omitempty"` // Address is where callers connect, as IP:port.
+	State      EntryState `cbor:"4,keyasint,omitempty"`
+}
+
+// later returns whether this is told of an instance rather than another entry of
+// the same name, which comes from another control instance.
+func (en Entry) later(other Entry) bool {
+	if en.State != other.State {
+		return en.State > other.State
+	}
+	return en.Address > other.Address
+}
+
+// Member is a control instance.
+type Member struct {
+	Name    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // Address is where instances connect, as IP:port.
+}
+
+// Subscribe is the first message on a link, from the entry instance that opened
+// it.
+type Subscribe struct {
+	Name       string     `cbor:"1,keyasint"`
+	DataCentre string     `cbor:"2,keyasint,omitempty"`
+	Address    string     `cbor:"3,keyasint,omitempty"`
+	State      EntryState `cbor:"4,keyasint,omitempty"`
+	Version    uint64     `cbor:"5,keyasint,omitempty"` // Version of the configuration held; 0 for none.
+}
+
+// Kind returns the kind of the message.
+func (Subscribe) Kind() peer.Kind { return kindSubscribe }
+
+// Standing tells a control instance the new state of the entry instance.
+type Standing struct {
+	State EntryState `cbor:"1,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Standing) Kind() peer.Kind { return kindStanding }
+
+// Fetch asks a control instance for the configuration of a version or a newer one.
+type Fetch struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Fetch) Kind() peer.Kind { return kindFetch }
+
+// Document answers a Fetch.
+type Document struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Data    []byte `cbor:"2,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Document) Kind() peer.Kind { return kindDocument }
+
+// Picture is all that a control instance knows. It answers Subscribe.
+type Picture struct {
+	Name    string            `cbor:"1,keyasint"` // Name of the control instance.
+	Members []Member          `cbor:"2,keyasint,omitempty"`
+	Version uint64            `cbor:"3,keyasint,omitempty"` // Version of the newest configuration; 0 for none.
+	Entries []Entry           `cbor:"4,keyasint,omitempty"` // Entries that have a link to this control instance.
+	Servers []registry.Server `cbor:"5,keyasint,omitempty"` // Servers that announced themselves here.
+}
+
+// Kind returns the kind of the message.
+func (Picture) Kind() peer.Kind { return kindPicture }
+
+// Update is what has changed since the Picture or the last Update.
+type Update struct {
+	Members *[]Member         `cbor:"1,keyasint,omitempty"` // Members is the whole new list; nil if unchanged.
+	Version uint64            `cbor:"2,keyasint,omitempty"` // Version of a newer configuration; 0 if unchanged.
+	Entries []Entry           `cbor:"3,keyasint,omitempty"` // Entries are those that are new or in another state.
+	Left    []string          `cbor:"4,keyasint,omitempty"` // Left names the entry instances whose link has ended.
+	Changes []registry.Change `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind returns the kind of the message.
+func (Update) Kind() peer.Kind { return kindUpdate }
+
+// Messages returns one zero value of each message of this package, for the codec.
+func Messages() []peer.Message {
+	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}}
+}
--- /dev/null
+++ b/feed/publisher.go
@@ -0,0 +1,396 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/link"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/timer"
+)
+
+// Times of a publisher.
+const (
+	// batchDelay is the time that a change after a quiet span waits for others.
+	batchDelay = 2 * time.Millisecond
+	// batchSpacing is the least time between two updates. When all backend servers
+	// announce themselves at once, each update would otherwise hold one of them,
+	// and each costs a write for each entry instance.
+	batchSpacing = 20 * time.Millisecond
+	// expiryShare is the part of the silence after which silence is looked for. The
+	// book takes a gap of half of it between two looks for a stop of the process.
+	expiryShare = 8
+	// expiryLeast and expiryMost bound the time between two looks.
+	expiryLeast = 100 * time.Millisecond
+	expiryMost  = 500 * time.Millisecond
+)
+
+// PublisherConfig is what a publisher needs to know.
+type PublisherConfig struct {
+	Name    string        // Name of this control instance.
+	Silence time.Duration // Silence is how long a backend server may go without an announcement.
+	// Members gives the control instances until SetMembers is called; nil means none.
+	Members func() []Member
+}
+
+// Publisher tells the entry instances that have a link to this control instance
+// what changes. All methods are safe for concurrent use and none but Handle and
+// Serve blocks: a slow link holds up nobody else.
+type Publisher struct {
+	cf PublisherConfig
+	ts *timer.Service
+	lg *zap.Logger
+
+	ready atomic.Pointer[[]Entry]
+
+	mu          sync.Mutex
+	lo          *bounded
+	book        *registry.Book
+	members     []Member
+	version     uint64
+	data        []byte
+	document    *link.Packed // document is the newest configuration as it travels; nil until it was asked for.
+	subscribers map[*subscriber]struct{}
+	joined      uint64           // joined counts the subscribers so far.
+	live        map[string]Entry // live holds what the newest link of each entry instance said.
+	pending     pending
+	armed       bool      // armed says that a flush is due.
+	flushed     time.Time // flushed is the time of the last update.
+}
+
+// subscriber is one link of an entry instance.
+type subscriber struct {
+	co     *link.Conn
+	en     Entry
+	number uint64
+}
+
+// pending is what the next Update will tell.
+type pending struct {
+	members bool
+	version bool
+	entries map[string]struct{}
+	servers map[string]registry.Change
+}
+
+// NewPublisher returns the publisher of a control instance. It accepts
+// subscribers and announcements at once; Serve finds backend servers that have
+// fallen silent.
+func NewPublisher(cf PublisherConfig, ts *timer.Service, lg *zap.Logger) *Publisher {
+	pu := &Publisher{
+		cf: cf, ts: ts, lg: lg, lo: newBounded(lg),
+		book:        registry.NewBook(cf.Silence),
+		subscribers: make(map[*subscriber]struct{}),
+		live:        make(map[string]Entry),
+		pending:     newPending(),
+	}
+	pu.ready.Store(&[]Entry{})
+	return pu
+}
+
+func newPending() pending {
+	return pending{entries: make(map[string]struct{}), servers: make(map[string]registry.Change)}
+}
+
+// Serve removes backend servers that have fallen silent until the context ends,
+// and returns the context's error.
+func (pu *Publisher) Serve(ctx context.Context) error {
+	period := min(max(pu.cf.Silence/expiryShare, expiryLeast), expiryMost)
+	tick := pu.ts.Subscribe(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			pu.expire(pu.ts.Now())
+		}
+	}
+}
+
+// expire drops the backend servers that have fallen silent here. They may be
+// heard by another control instance, so they are not told as gone.
+func (pu *Publisher) expire(now time.Time) {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	for _, id := range pu.book.Expire(now) {
+		pu.lo.info(now, "backend-server-silent", zap.String("ID", id))
+		pu.change(now, registry.Change{Server: registry.Server{ID: id}, Dropped: true})
+	}
+}
+
+// Announce takes in what a backend server said of itself. An announcement that
+// changes nothing is not told to anyone.
+func (pu *Publisher) Announce(se registry.Server) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	if !pu.book.Announce(now, se) {
+		return
+	}
+	pu.lo.info(now, "backend-server-announced", serverFields(se)...)
+	pu.change(now, registry.Change{Server: se})
+}
+
+// Leave takes in that a backend server has ended for good.
+func (pu *Publisher) Leave(id string) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	if !pu.book.Leave(now, id) {
+		return
+	}
+	pu.lo.info(now, "backend-server-left", zap.String("ID", id))
+	pu.change(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone}})
+}
+
+// change makes the next update tell a change. That a server drains is not
+// overtaken by anything that it says later.
+func (pu *Publisher) change(now time.Time, ch registry.Change) {
+	if !ch.Dropped {
+		ch.Server.State = max(ch.Server.State, pu.pending.servers[ch.Server.ID].Server.State)
+	}
+	pu.pending.servers[ch.Server.ID] = ch
+	pu.arm(now)
+}
+
+// SetDocument takes in a configuration that is committed. A version that is not
+// higher than the one held changes nothing. The data must not be changed later.
+func (pu *Publisher) SetDocument(version uint64, data []byte) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	if version <= pu.version {
+		return
+	}
+	pu.version, pu.data, pu.document = version, data, nil
+	pu.pending.version = true
+	pu.lg.Info("configuration-published", zap.Uint64("Version", version), zap.Int("Bytes", len(data)))
+	pu.arm(now)
+}
+
+// SetMembers takes in the control instances of the group.
+func (pu *Publisher) SetMembers(ms []Member) {
+	now := pu.ts.Now()
+	ms = sortedMembers(ms)
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	if pu.members != nil && slices.Equal(pu.members, ms) {
+		return
+	}
+	pu.members = ms
+	pu.pending.members = true
+	pu.lg.Info("members-published", zap.Int("Members", len(ms)))
+	pu.arm(now)
+}
+
+// sortedMembers returns a copy in the order of names. It is never nil.
+func sortedMembers(ms []Member) []Member {
+	ms = append([]Member{}, ms...)
+	slices.SortFunc(ms, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return ms
+}
+
+// Entries returns the entry instances that callers may be sent to: those with a
+// link to this control instance whose state is Ready, by name. The slice is
+// shared and must not be changed.
+func (pu *Publisher) Entries() []Entry { return *pu.ready.Load() }
+
+// Handle serves the link of an entry instance until it or the context ends. The
+// first message on the link is given.
+func (pu *Publisher) Handle(ctx context.Context, co *link.Conn, first Subscribe) {
+	stop := context.AfterFunc(ctx, co.Close)
+	defer stop()
+	defer co.Close()
+	sb := pu.join(co, first)
+	for {
+		ms, err := co.Receive()
+		if err != nil {
+			pu.part(sb, err)
+			return
+		}
+		switch me := ms.(type) {
+		case Standing:
+			pu.stand(sb, me.State)
+		case Fetch:
+			pu.send(sb, me.Version)
+		default:
+			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
+		}
+	}
+}
+
+// join adds a subscriber and sends it the whole picture. Both happen under one
+// lock, so that no change falls between the picture and the first update.
+func (pu *Publisher) join(co *link.Conn, first Subscribe) *subscriber {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	pu.joined++
+	sb := &subscriber{co: co, number: pu.joined, en: Entry{
+		Name: first.Name, DataCentre: first.DataCentre, Address: first.Address, State: first.State,
+	}}
+	pu.subscribers[sb] = struct{}{}
+	pu.refresh(now, first.Name)
+	pu.lo.info(now, "entry-link-up", zap.String("Entry", first.Name), zap.String("Address", first.Address),
+		zap.Stringer("State", first.State), zap.Uint64("Version", first.Version))
+	if err := co.Send(pu.picture(now)); err != nil {
+		pu.lg.Warn("picture-not-sent", zap.String("Entry", first.Name), zap.Error(err))
+	}
+	return sb
+}
+
+func (pu *Publisher) picture(now time.Time) Picture {
+	members := pu.members
+	if members == nil && pu.cf.Members != nil {
+		members = sortedMembers(pu.cf.Members())
+	}
+	return Picture{
+		Name: pu.cf.Name, Members: members, Version: pu.version,
+		Entries: pu.entries(func(Entry) bool { return true }), Servers: pu.book.Records(now),
+	}
+}
+
+// part removes a subscriber whose link has ended.
+func (pu *Publisher) part(sb *subscriber, err error) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	delete(pu.subscribers, sb)
+	pu.refresh(now, sb.en.Name)
+	pu.lo.info(now, "entry-link-down", zap.String("Entry", sb.en.Name), zap.Stringer("State", sb.en.State), zap.Error(err))
+}
+
+// stand takes in the new state of an entry instance.
+func (pu *Publisher) stand(sb *subscriber, es EntryState) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	sb.en.State = es
+	pu.refresh(now, sb.en.Name)
+	pu.lo.info(now, "entry-state", zap.String("Entry", sb.en.Name), zap.Stringer("State", es))
+}
+
+// refresh brings the list of entry instances up to date after a change of one.
+// An instance that was started anew, or lost track of its link, may have two
+// links for a while: the newest one tells its state.
+func (pu *Publisher) refresh(now time.Time, name string) {
+	var newest *subscriber
+	for sb := range pu.subscribers {
+		if sb.en.Name == name && (newest == nil || sb.number > newest.number) {
+			newest = sb
+		}
+	}
+	old, known := pu.live[name]
+	switch {
+	case newest == nil && !known, newest != nil && known && newest.en == old:
+		return
+	case newest == nil:
+		delete(pu.live, name)
+	default:
+		pu.live[name] = newest.en
+	}
+	ready := pu.entries(func(en Entry) bool { return en.State == Ready })
+	pu.ready.Store(&ready)
+	pu.pending.entries[name] = struct{}{}
+	pu.arm(now)
+}
+
+// entries returns the live entry instances that pass, by name.
+func (pu *Publisher) entries(pass func(Entry) bool) []Entry {
+	list := make([]Entry, 0, len(pu.live))
+	for _, en := range pu.live {
+		if pass(en) {
+			list = append(list, en)
+		}
+	}
+	slices.SortFunc(list, compareEntries)
+	return list
+}
+
+func compareEntries(a, b Entry) int { return strings.Compare(a.Name, b.Name) }
+
+// send answers a Fetch. The document is encoded once for all who ask.
+func (pu *Publisher) send(sb *subscriber, version uint64) {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	if pu.version < version || pu.version == 0 {
+		pu.lg.Warn("configuration-not-held", zap.String("Entry", sb.en.Name),
+			zap.Uint64("Version", version), zap.Uint64("Held", pu.version))
+		return
+	}
+	if pu.document == nil {
+		pa, err := sb.co.Pack(Document{Version: pu.version, Data: pu.data})
+		if err != nil {
+			pu.lg.Error("message-not-encoded", zap.Error(err))
+			return
+		}
+		pu.document = &pa
+	}
+	_ = sb.co.SendPacked(*pu.document) // The end of the link is seen where it is read.
+}
+
+// arm makes an update go out soon.
+func (pu *Publisher) arm(now time.Time) {
+	if pu.armed {
+		return
+	}
+	pu.armed = true
+	pu.ts.Timeout(max(batchDelay, pu.flushed.Add(batchSpacing).Sub(now)), pu.flush)
+}
+
+// flush sends what is pending to all subscribers. It is encoded once.
+func (pu *Publisher) flush() {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	pu.armed, pu.flushed = false, pu.ts.Now()
+	up := pu.update()
+	pu.pending = newPending()
+	var pa *link.Packed
+	for sb := range pu.subscribers {
+		if pa == nil {
+			packed, err := sb.co.Pack(up)
+			if err != nil {
+				pu.lg.Error("message-not-encoded", zap.Error(err))
+				return
+			}
+			pa = &packed
+		}
+		_ = sb.co.SendPacked(*pa) // The end of the link is seen where it is read.
+	}
+}
+
+func (pu *Publisher) update() Update {
+	var up Update
+	if pu.pending.members {
+		up.Members = &pu.members
+	}
+	if pu.pending.version {
+		up.Version = pu.version
+	}
+	for _, name := range slices.Sorted(maps.Keys(pu.pending.entries)) {
+		if en, ok := pu.live[name]; ok {
+			up.Entries = append(up.Entries, en)
+		} else {
+			up.Left = append(up.Left, name)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(pu.pending.servers)) {
+		up.Changes = append(up.Changes, pu.pending.servers[id])
+	}
+	return up
+}
+
+func serverFields(se registry.Server) []zap.Field {
+	return []zap.Field{
+		zap.String("ID", se.ID), zap.String("Service", se.Service),
+		zap.String("Address", se.Address), zap.Stringer("State", se.State),
+	}
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/result"
+	"balsamwinch.example/route"
+	"balsamwinch.example/scatter"
+	"balsamwinch.example/upstream"
+)
+
+// Times that a refused caller is asked to stay away.
+const (
+	retryNoTable  = 300 * time.Millisecond
+	retryStopping = 10 * time.Millisecond
+	retryBusy     = 100 * time.Millisecond
+	retryNoServer = 100 * time.Millisecond
+)
+
+// Reasons of refusals, as logs and metrics name them.
+const (
+	refusalNoTable  = "no configuration"
+	refusalStopping = "stopping"
+	refusalBusy     = "too many requests"
+	refusalNotRun   = "no backend server took it"
+)
+
+// defaultTimeout bounds a request whose route names none and whose caller said
+// nothing; a checked table always names one.
+const defaultTimeout = 10 * time.Second
+
+// call is one request of a caller.
+type call struct {
+	sv    *Server
+	wr    http.ResponseWriter
+	rq    *http.Request
+	tb    *route.Table
+	ro    *route.Route
+	id    string
+	start time.Time
+	body  []byte
+
+	code   result.Code
+	status int
+	detail string
+	missed int
+	sent   int
+	hedged int
+	again  int
+}
+
+// serve answers a request under the table that was in force when it came.
+func (ca *call) serve() {
+	ro, ok := ca.tb.Match(ca.rq.Host, ca.rq.URL.EscapedPath())
+	if !ok {
+		ca.fail(http.StatusNotFound, result.NotRunUnknownService, "no route for host and path")
+		return
+	}
+	ca.ro = ro
+	if ca.id == "" {
+		ca.fail(http.StatusBadRequest, result.NotRunBadRequest, "no request id")
+		return
+	}
+	if !ca.readBody() {
+		return
+	}
+	if len(ro.Shards) > 0 {
+		ca.serveShards()
+		return
+	}
+	ca.serveOne()
+}
+
+// readBody reads the whole body, so that it can be sent again unchanged.
+func (ca *call) readBody() bool {
+	if ca.rq.Body == nil || ca.rq.Body == http.NoBody {
+		return true
+	}
+	limit := ca.tb.Limits().BodyBytes
+	if limit > 0 && ca.rq.ContentLength > int64(limit) {
+		ca.fail(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, "body too large")
+		return false
+	}
+	rd := io.Reader(ca.rq.Body)
+	if limit > 0 {
+		rd = http.MaxBytesReader(ca.wr, ca.rq.Body, int64(limit))
+	}
+	body, err := io.ReadAll(rd)
+	var mb *http.MaxBytesError
+	switch {
+	case errors.As(err, &mb):
+		ca.fail(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, "body too large")
+		return false
+	case err != nil:
+		ca.fail(http.StatusBadRequest, result.NotRunBadRequest, "body can't be read")
+		return false
+	}
+	ca.body = body
+	return true
+}
+
+// timeout returns how long the request may take here.
+func (ca *call) timeout() time.Duration {
+	to := ca.ro.Timeout
+	if to <= 0 {
+		to = defaultTimeout
+	}
+	if said := ca.said(); said > 0 && said < to {
+		return said
+	}
+	return to
+}
+
+// said returns how long the caller says it waits, or 0.
+func (ca *call) said() time.Duration {
+	ms, err := strconv.ParseInt(strings.TrimSpace(ca.rq.Header.Get(ca.sv.cf.Names.Deadline)), 10, 64)
+	if err != nil || ms <= 0 || ms > int64(time.Hour/time.Millisecond) {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// plan returns how the request is carried out over a number of shards.
+func (ca *call) plan(shards, least int) scatter.Plan {
+	pl := scatter.Plan{
+		Shards:      shards,
+		Least:       least,
+		MaxAttempts: ca.ro.MaxAttempts,
+		Repeatable:  ca.ro.Kind == route.Repeatable,
+		Start:       ca.start,
+		Deadline:    ca.start.Add(ca.timeout()),
+		Pause:       refusalPause,
+	}
+	pl.Hold, pl.Offer = pl.Deadline, pl.Deadline
+	if ca.ro.Aim > 0 {
+		aim := ca.start.Add(ca.ro.Aim - 2*ca.sv.cf.CallerDistance)
+		pl.Hold = aim.Add(-ca.sv.cf.HoldMargin)
+		pl.Offer = ca.start.Add(ca.ro.Aim / offerPart)
+	}
+	return pl
+}
+
+const (
+	// refusalPause is the time before a third backend server is asked after two
+	// have refused.
+	refusalPause = 5 * time.Millisecond
+	// offerPart is the part of the aim within which a backend server must be found.
+	offerPart = 5
+)
+
+// request returns what is sent to backend servers.
+func (ca *call) request() *upstream.Request {
+	return &upstream.Request{
+		Method:    ca.rq.Method,
+		URI:       ca.rq.RequestURI,
+		Host:      ca.rq.Host,
+		Header:    ca.rq.Header,
+		Body:      ca.body,
+		RequestID: ca.id,
+		Expect:    true,
+		Linger:    ca.sv.cf.Linger,
+	}
+}
+
+// refuse answers that the request has not run and never will, and when to come
+// back.
+func (ca *call) refuse(reason string, after time.Duration) {
+	ca.wr.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	ca.fail(http.StatusServiceUnavailable, result.NotRunOverloaded, reason)
+}
+
+// fail gives an answer of this instance's own.
+func (ca *call) fail(status int, code result.Code, detail string) {
+	ca.status, ca.code, ca.detail = status, code, detail
+	hd := ca.wr.Header()
+	hd.Set("Content-Type", "application/json")
+	body := `{"Code":` + strconv.Itoa(int(code)) + `,"Detail":"` + detail + `"}`
+	hd.Set("Content-Length", strconv.Itoa(len(body)))
+	ca.wr.WriteHeader(status)
+	_, _ = io.WriteString(ca.wr, body)
+	ca.sv.lg.Info("request-failed", zap.String("RequestID", ca.id), zap.Int("Status", status), zap.Int("Code", int(code)),
+		zap.String("Detail", detail), zap.String("Route", ca.routeName()), zap.Uint64("Version", ca.version()),
+		zap.Int("Sent", ca.sent), zap.Int("Hedged", ca.hedged), zap.Int("Retried", ca.again), zap.Int("Missing", ca.missed),
+		zap.Int64("Millis", ca.sv.ts.Now().Sub(ca.start).Milliseconds()))
+}
+
+func (ca *call) routeName() string {
+	if ca.ro == nil {
+		return ""
+	}
+	return ca.ro.Name
+}
+
+func (ca *call) version() uint64 {
+	if ca.tb == nil {
+		return 0
+	}
+	return ca.tb.Version()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,155 @@
+// Package gateway serves callers at an entry instance: it finds the route of a
+// request, passes it to one backend server or to one of each shard, and gives
+// the answer back unchanged or merged. What is asked, hedged, retried and given
+// up is decided by the packages scatter, replica and budget; this package moves
+// the bytes and keeps the promises about them.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/budget"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/replica"
+	"balsamwinch.example/route"
+	"balsamwinch.example/timer"
+	"balsamwinch.example/upstream"
+)
+
+// Names are the header names that callers and backend servers use.
+type Names struct {
+	RequestID string // RequestID names one attempt of a caller.
+	Deadline  string // Deadline is the time the caller waits, in milliseconds.
+	Expect    string // Expect names the backend server that a request is meant for.
+	Stamp     string // Stamp proves which backend server ran a request.
+	NotRun    string // NotRun says that a backend server did not run a request.
+	Load      string // Load is what a backend server says of its load.
+	Instance  string // Instance is a backend server's name.
+	Parts     string // Parts lists the stamps of a merged answer.
+	Missing   string // Missing counts the parts that a merged answer lacks.
+}
+
+// Upstream returns the names that exchanges with backend servers use.
+func (na Names) Upstream() upstream.Names {
+	return upstream.Names{
+		RequestID: na.RequestID, Deadline: na.Deadline, Expect: na.Expect,
+		Stamp: na.Stamp, NotRun: na.NotRun, Load: na.Load,
+	}
+}
+
+// Config is what a gateway is told once.
+type Config struct {
+	Names          Names
+	CallerDistance time.Duration // CallerDistance is the one-way time to a caller.
+	HoldMargin     time.Duration // HoldMargin is kept between the end of a hold and a route's aim.
+	Linger         time.Duration // Linger is how long a superseded reply is read out to keep its connection.
+	MostActive     int           // MostActive bounds the requests under way.
+}
+
+// Server serves callers.
+type Server struct {
+	cf Config
+	ts *timer.Service
+	lg *zap.Logger
+	up *upstream.Client
+	re *replica.Table
+	bu *budget.Budget
+	pk *route.Picker
+
+	tb      atomic.Pointer[route.Table]
+	shares  atomic.Pointer[map[string]int]
+	refuse  atomic.Bool
+	closing atomic.Bool
+	active  atomic.Int64
+	mt      meters
+
+	mu      sync.Mutex // mu guards what the shares are made from.
+	servers map[string][]registry.Server
+	entries entryCount
+}
+
+// New returns a gateway that refuses all requests until it has a table.
+func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
+	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker()}
+	sv.shares.Store(&map[string]int{})
+	return sv
+}
+
+// Table returns the table in force, or nil.
+func (sv *Server) Table() *route.Table { return sv.tb.Load() }
+
+// SetTable puts a table in force. Requests under way end on theirs.
+func (sv *Server) SetTable(tb *route.Table) {
+	sv.tb.Store(tb)
+	sv.share()
+}
+
+// SetServers takes over which backend servers exist.
+func (sv *Server) SetServers(ses map[string][]registry.Server) {
+	sv.re.Update(sv.ts.Now(), ses)
+	sv.mu.Lock()
+	sv.servers = ses
+	sv.mu.Unlock()
+	sv.share()
+}
+
+// SetEntries takes over how many entry instances share the backend servers.
+func (sv *Server) SetEntries(count int) {
+	now := sv.ts.Now()
+	sv.bu.SetEntries(now, count)
+	sv.mu.Lock()
+	sv.entries = sv.entries.with(now, count)
+	sv.mu.Unlock()
+	sv.share()
+}
+
+// Refuse makes the gateway answer every further request at once with "not run".
+func (sv *Server) Refuse() { sv.refuse.Store(true) }
+
+// CloseAfterAnswer makes the gateway ask callers to leave after their answer.
+func (sv *Server) CloseAfterAnswer() { sv.closing.Store(true) }
+
+// Active returns how many requests are under way.
+func (sv *Server) Active() int { return int(sv.active.Load()) }
+
+// ServeHTTP answers one request of a caller.
+func (sv *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	start := sv.ts.Now()
+	active := sv.active.Add(1)
+	defer sv.active.Add(-1)
+	if sv.closing.Load() {
+		wr.Header().Set("Connection", "close")
+	}
+	ca := &call{sv: sv, wr: wr, rq: rq, start: start, id: rq.Header.Get(sv.cf.Names.RequestID)}
+	switch tb := sv.tb.Load(); {
+	case tb == nil:
+		ca.refuse(refusalNoTable, retryNoTable)
+	case sv.refuse.Load():
+		ca.refuse(refusalStopping, retryStopping)
+	case active > int64(sv.cf.MostActive):
+		ca.refuse(refusalBusy, retryBusy)
+	default:
+		ca.tb = tb
+		ca.serve()
+	}
+	sv.mt.request(ca, sv.ts.Now().Sub(start))
+}
+
+// WaitIdle waits until no request is under way or the context ends.
+func (sv *Server) WaitIdle(ctx context.Context) error {
+	for sv.Active() > 0 {
+		if err := sv.ts.Sleep(ctx, idlePoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// idlePoll is how often a stop looks whether the last request is over.
+const idlePoll = 20 * time.Millisecond
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"balsamwinch.example/replica"
+	"balsamwinch.example/scatter"
+	"balsamwinch.example/upstream"
+)
+
+// Pauses before an ask that was denied is tried again.
+const (
+	noServerPause = 20 * time.Millisecond
+	budgetPause   = 25 * time.Millisecond
+)
+
+// keepForRetries is the part of the retry budget that hedges leave for retries:
+// a hedge makes an answer faster, a retry makes it whole.
+const keepForRetries = 0.25
+
+// ended is an attempt that is over.
+type ended struct {
+	shard int
+	rs    upstream.Result
+}
+
+// attempt is one arrival at a backend server.
+type attempt struct {
+	shard int
+	pk    replica.Pick
+}
+
+// carrier carries out one query.
+type carrier struct {
+	ca       *call
+	qu       *scatter.Query
+	services []string
+	rq       *upstream.Request
+	replies  []*upstream.Reply // replies holds the newest reply of each shard.
+	tried    [][]string        // tried holds the backend servers asked for each shard.
+	picks    []replica.Pick    // picks holds the newest attempt of each shard.
+	arrived  []bool            // arrived says that a request for the shard counts as arrived.
+	ends     chan ended
+}
+
+// carry runs a query over the shards that the services hold and returns it with
+// the reply of each shard. It returns false if the caller has left.
+func (ca *call) carry(pl scatter.Plan, services []string) (*carrier, bool) {
+	cr := &carrier{
+		ca:       ca,
+		qu:       scatter.New(pl),
+		services: services,
+		rq:       ca.request(),
+		replies:  make([]*upstream.Reply, len(services)),
+		tried:    make([][]string, len(services)),
+		picks:    make([]replica.Pick, len(services)),
+		arrived:  make([]bool, len(services)),
+		ends:     make(chan ended, 2*len(services)),
+	}
+	cr.rq.Deadline = pl.Deadline
+	for _, se := range services {
+		ca.sv.bu.Arrival(ca.start, se)
+	}
+	return cr, cr.loop()
+}
+
+// loop performs what the query wants until it is over.
+func (cr *carrier) loop() bool {
+	ts := cr.ca.sv.ts
+	caller := cr.ca.rq.Context()
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	defer cancel(upstream.ErrSuperseded)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var wants []scatter.Want
+	for {
+		now := ts.Now()
+		wants = cr.qu.Next(now, wants[:0])
+		for _, wa := range wants {
+			cr.try(ctx, now, wa)
+		}
+		if cr.qu.End() != scatter.Running {
+			return true
+		}
+		timer.Reset(cr.qu.Wake(now).Sub(now))
+		select {
+		case en := <-cr.ends:
+			cr.ended(en)
+		case <-timer.C:
+		case <-caller.Done():
+			// The caller has left: what it asked for ends at the backend servers too.
+			cancel(context.Canceled)
+			return false
+		}
+	}
+}
+
+// try begins an attempt, or tells the query why it can't.
+func (cr *carrier) try(ctx context.Context, now time.Time, wa scatter.Want) {
+	sv := cr.ca.sv
+	service := cr.services[wa.Shard]
+	if wa.Kind == scatter.Hedge {
+		sv.re.Overdue(now, cr.picks[wa.Shard])
+	}
+	if wa.Kind != scatter.First && cr.arrived[wa.Shard] && !sv.bu.Spend(now, service, keep(wa.Kind)) {
+		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
+		return
+	}
+	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard]}
+	pk, ok := sv.re.Choose(now, as)
+	if !ok {
+		cr.qu.Denied(now, wa.Shard, scatter.CauseNoServer, now.Add(noServerPause))
+		return
+	}
+	switch wa.Kind {
+	case scatter.Hedge:
+		cr.ca.hedged++
+	case scatter.Retry:
+		cr.ca.again++
+	}
+	cr.ca.sent++
+	cr.picks[wa.Shard] = pk
+	cr.tried[wa.Shard] = append(cr.tried[wa.Shard], pk.Server.ID)
+	var hedgeAt time.Time
+	if cr.ca.repeatable() {
+		hedgeAt = now.Add(sv.re.HedgeAfter(now, as, pk))
+	}
+	cr.qu.Asked(wa.Shard, hedgeAt)
+	go cr.exchange(ctx, attempt{shard: wa.Shard, pk: pk})
+}
+
+func keep(wk scatter.WantKind) float64 {
+	if wk == scatter.Hedge {
+		return keepForRetries
+	}
+	return 0
+}
+
+// exchange runs one attempt and reports it.
+func (cr *carrier) exchange(ctx context.Context, at attempt) {
+	sv := cr.ca.sv
+	se := at.pk.Server
+	rs := sv.up.Do(ctx, sv.target(se.Service, se.ID, se.Address), cr.rq)
+	sv.re.Done(sv.ts.Now(), at.pk, report(ctx, rs))
+	select {
+	case cr.ends <- ended{at.shard, rs}:
+	case <-ctx.Done():
+	}
+}
+
+// report says what an exchange tells about its backend server.
+func report(ctx context.Context, rs upstream.Result) replica.Report {
+	re := replica.Report{}
+	if rs.Reply != nil && rs.Reply.HasLoad {
+		ld := rs.Reply.Load
+		re.HasLoad, re.Running, re.Waiting, re.Slots, re.Pace = true, ld.Running, ld.Waiting, ld.Slots, ld.Pace
+	}
+	switch rs.Outcome {
+	case upstream.Answered:
+		re.Kind = replica.Served
+		if rs.Reply.Status >= 500 {
+			re.Kind = replica.Failed
+		}
+	case upstream.NotRun:
+		re.Kind = replica.Shed
+		if rs.Moved {
+			re.Kind = replica.Moved
+		}
+	case upstream.NotSent:
+		re.Kind = replica.Unreachable
+	case upstream.Lost, upstream.Wrong:
+		re.Kind = replica.Failed
+	case upstream.TimedOut:
+		re.Kind = replica.Silent
+	case upstream.Canceled:
+		re.Kind = replica.Silent
+		if context.Cause(ctx) != upstream.ErrSuperseded {
+			re.Kind = replica.Canceled
+		}
+	default:
+		re.Kind = replica.Canceled
+	}
+	return re
+}
+
+// ended gives the end of an attempt to the query.
+func (cr *carrier) ended(en ended) {
+	if en.rs.Outcome != upstream.NotSent && en.rs.Outcome != upstream.NoConnection {
+		cr.arrived[en.shard] = true
+	}
+	if en.rs.Reply != nil && !cr.qu.Has(en.shard) && en.rs.Outcome == upstream.Answered {
+		cr.replies[en.shard] = en.rs.Reply
+	}
+	cr.qu.Replied(cr.ca.sv.ts.Now(), en.shard, cr.ca.reply(en.rs))
+}
+
+// reply says what an exchange means for the query. Only a success is a part of a
+// merged answer; an answer of any kind but a server's own fault is one for a
+// request to a single backend server, and is passed on as it came.
+func (ca *call) reply(rs upstream.Result) scatter.Reply {
+	switch rs.Outcome {
+	case upstream.Answered:
+		return ca.answered(rs.Reply.Status)
+	case upstream.NotRun, upstream.NotSent, upstream.NoConnection:
+		return scatter.ReplyNotRun
+	default:
+		return scatter.ReplyLost
+	}
+}
+
+func (ca *call) answered(status int) scatter.Reply {
+	switch {
+	case status >= 200 && status < 300:
+		return scatter.ReplyPart
+	case len(ca.ro.Shards) > 0 || status >= 500:
+		return scatter.ReplyFailed
+	default:
+		return scatter.ReplyPart
+	}
+}
--- /dev/null
+++ b/gateway/share.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	"balsamwinch.example/upstream"
+)
+
+// entryMemory is how long an entry instance that was seen still counts. One that
+// is replaced overlaps with its successor, and its connections end late.
+const entryMemory = 20 * time.Second
+
+// entryCount is the highest number of entry instances seen lately.
+type entryCount struct {
+	now, top int
+	topAt    time.Time
+}
+
+func (ec entryCount) with(now time.Time, count int) entryCount {
+	if count >= ec.top || now.Sub(ec.topAt) > entryMemory {
+		return entryCount{now: count, top: count, topAt: now}
+	}
+	ec.now = count
+	return ec
+}
+
+// share divides each backend server's connections among the entry instances, so
+// that together they never open more than it takes: what is over is reset, with
+// whatever request was on it.
+func (sv *Server) share() {
+	tb := sv.tb.Load()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	entries := max(1, sv.entries.top)
+	shares := make(map[string]int)
+	targets := make(map[string]upstream.Target)
+	for name, ses := range sv.servers {
+		most := 1
+		if tb != nil {
+			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 {
+				most = max(1, se.MaxConnections/entries)
+			}
+		}
+		shares[name] = most
+		for _, se := range ses {
+			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Connections: most}
+		}
+	}
+	sv.shares.Store(&shares)
+	sv.up.Retain(targets)
+}
+
+// target returns how a backend server of a service is reached.
+func (sv *Server) target(service, id, address string) upstream.Target {
+	return upstream.Target{ID: id, Address: address, Connections: max(1, (*sv.shares.Load())[service])}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,6 +11,9 @@
 	KindQuorum  Kind = 100
 	KindControl Kind = 200
 	KindMember  Kind = 300
+	KindLink    Kind = 400
+	KindFleet   Kind = 500
+	KindFeed    Kind = 600
 )
 
 // Message is a typed message; its fields travel as CBOR.
--- a/quorum/lease.go
+++ b/quorum/lease.go
@@ -20,6 +20,31 @@
 	return st.contact.Add(st.cf.Election * leaseNumerator / leaseDenominator)
 }
 
+// Contact returns when the newest Append was sent that a majority of the voters
+// has acknowledged. It is the zero time if the voter does not lead or has not
+// heard from a majority yet. It never falls while a voter leads.
+func (st State) Contact() time.Time {
+	if st.role != Leader {
+		return time0
+	}
+	return st.contact
+}
+
+// TermOpen reports whether the voter leads and has committed an entry of its own
+// term, and with it all that earlier leaders committed.
+func (st State) TermOpen() bool {
+	return st.role == Leader && st.termOpen()
+}
+
+// probe asks all members for an acknowledgement now.
+func (sp *step) probe() {
+	if sp.role != Leader {
+		return
+	}
+	sp.updateContact()
+	sp.broadcast()
+}
+
 // loyal reports whether this voter must refuse its vote because a leader may
 // rely on it: it heard one within the Election time, or it leads and a majority
 // hears it. A voter that has just started may have heard one and forgotten it.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -96,6 +96,12 @@
 	Data []byte
 }
 
+// Probe makes a leader send a heartbeat at once. What the leader held at an
+// earlier time is still the newest once State.Contact is after that time: a
+// majority has acknowledged since then that it follows no later leader. At all
+// others it does nothing.
+type Probe struct{ Now time.Time }
+
 // ChangeVoters asks the leader to add a newcomer or to remove a member; exactly
 // one of the two is set. Appended or Refused answers with the same tag. A
 // newcomer starts as a learner and is promoted by the leader once it has caught
@@ -126,6 +132,7 @@
 func (Tick) isEvent()          {}
 func (Received) isEvent()      {}
 func (Propose) isEvent()       {}
+func (Probe) isEvent()         {}
 func (ChangeVoters) isEvent()  {}
 func (Compacted) isEvent()     {}
 func (SnapshotReady) isEvent() {}
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -38,6 +38,9 @@
 	case Propose:
 		sp.now = ev.Now
 		sp.propose(ev)
+	case Probe:
+		sp.now = ev.Now
+		sp.probe()
 	case ChangeVoters:
 		sp.now = ev.Now
 		sp.changeVoters(ev)
--- a/quorum/voters.go
+++ b/quorum/voters.go
@@ -115,9 +115,9 @@
 // termOpen reports whether an entry of the leader's own term is committed.
 // Before that, an uncommitted voter set of an earlier leader may still come
 // back, so that a change made now would not be one by one.
-func (sp *step) termOpen() bool {
-	te, _ := sp.log.term(sp.commit)
-	return te == sp.hard.Term
+func (st State) termOpen() bool {
+	te, _ := st.log.term(st.commit)
+	return te == st.hard.Term
 }
 
 func (sp *step) changeVoters(ev ChangeVoters) {
--- /dev/null
+++ b/registry/book.go
@@ -0,0 +1,148 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// mostHeard bounds the servers in a book.
+	mostHeard = 10000
+	// mostLeft bounds the ids that a book remembers to have left.
+	mostLeft = 10000
+	// leftKept is for how long a book remembers that an id has left.
+	leftKept = 10 * time.Minute
+	// leftTold is for how long Records names an id that has left.
+	leftTold = time.Minute
+)
+
+// Book is what backend servers announced to one control instance. It is safe
+// for concurrent use.
+//
+// Its times are those in which the process was running: a gap of more than half
+// the silence between two calls counts as nothing, because the process was
+// suspended then and could not hear. So Expire must be called more often.
+type Book struct {
+	silence time.Duration
+
+	mu    sync.Mutex
+	wa    watch
+	heard map[string]*heard
+	left  *memory[Server]
+	count uint64 // count is how many ids were heard for the first time.
+}
+
+// heard is a server that announces itself.
+type heard struct {
+	server Server
+	order  uint64
+	at     time.Duration
+}
+
+// NewBook returns an empty book. A server that hasn't announced itself for the
+// silence is dropped.
+func NewBook(silence time.Duration) *Book {
+	return &Book{
+		silence: silence,
+		wa:      watch{gap: silence / 2},
+		heard:   make(map[string]*heard),
+		left:    newMemory[Server](mostLeft),
+	}
+}
+
+// Announce takes what a server says of itself and reports whether it is news
+// for others; a new sequence alone isn't, nor is a shorter rest of WarmMillis.
+// It ignores a server without an id, an id that has left, a sequence that isn't
+// higher than the one before, and, in a full book, ids that aren't in it. A
+// Draining server stays so, whatever it says later. Gone is taken as Leave.
+func (bk *Book) Announce(now time.Time, se Server) (changed bool) {
+	if se.State == Gone {
+		return bk.Leave(now, se.ID)
+	}
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	at := bk.wa.look(now)
+	if _, ok := bk.left.get(se.ID); ok || se.ID == "" {
+		return false
+	}
+	he, ok := bk.heard[se.ID]
+	if !ok {
+		return bk.add(at, se)
+	}
+	if se.Sequence <= he.server.Sequence {
+		return false
+	}
+	he.at = at
+	se.State = max(se.State, he.server.State)
+	changed = !se.alike(he.server)
+	he.server = se
+	return changed
+}
+
+func (bk *Book) add(at time.Duration, se Server) bool {
+	if len(bk.heard) >= mostHeard {
+		return false
+	}
+	bk.count++
+	bk.heard[se.ID] = &heard{server: se, order: bk.count, at: at}
+	return true
+}
+
+// Leave takes that a server has left, and reports whether it is news. The id is
+// remembered as Gone for 10 minutes, also one never heard before, so that an
+// announcement which arrives after it changes nothing; of more than 10000 such
+// ids the oldest are forgotten.
+func (bk *Book) Leave(now time.Time, id string) (changed bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	at := bk.wa.look(now)
+	if _, ok := bk.left.get(id); ok || id == "" {
+		return false
+	}
+	se := Server{ID: id}
+	if he, ok := bk.heard[id]; ok {
+		se = he.server
+		delete(bk.heard, id)
+	}
+	se.State = Gone
+	bk.left.put(at, id, se)
+	return true
+}
+
+// Expire drops the servers that have been silent for too long and returns their
+// ids, sorted. They aren't Gone: another control instance may hear them.
+func (bk *Book) Expire(now time.Time) []string {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	at := bk.wa.look(now)
+	bk.left.forget(at - leftKept)
+	var ids []string
+	for id, he := range bk.heard {
+		if at-he.at >= bk.silence {
+			ids = append(ids, id)
+			delete(bk.heard, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Records returns the servers that left in the last 60 seconds and then those
+// in the book, in the order in which they were first heard.
+func (bk *Book) Records(now time.Time) []Server {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	at := bk.wa.look(now)
+	hes := make([]*heard, 0, len(bk.heard))
+	for _, he := range bk.heard {
+		hes = append(hes, he)
+	}
+	slices.SortFunc(hes, func(a, b *heard) int { return cmp.Compare(a.order, b.order) })
+	ses := bk.left.since(at - leftTold)
+	for _, he := range hes {
+		ses = append(ses, he.server)
+	}
+	return ses
+}
--- /dev/null
+++ b/registry/item.go
@@ -0,0 +1,232 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// source is a control instance's book.
+type source struct {
+	connected bool
+	held      map[string]*item
+}
+
+// item is a server that some source holds, or held until a short time ago.
+type item struct {
+	server  Server
+	order   uint64 // order is the place in the order of first hearing.
+	sources map[*source]struct{}
+	at      time.Duration // at is when a connected source was last known to hold it.
+	listed  *Server       // listed is what is in the groups of it; nil if nothing is.
+}
+
+// fate is what is remembered of an id that is no item any more.
+type fate struct {
+	order    uint64
+	draining bool
+	gone     bool
+}
+
+// held reports whether a connected source holds the item.
+func (it *item) held() bool {
+	for so := range it.sources {
+		if so.connected {
+			return true
+		}
+	}
+	return false
+}
+
+// blind reports whether no source is connected.
+func (un *Union) blind() bool {
+	for _, so := range un.sources {
+		if so.connected {
+			return false
+		}
+	}
+	return true
+}
+
+// source returns the source of a name, which is connected, and makes it if need be.
+func (un *Union) source(name string) *source {
+	so, ok := un.sources[name]
+	if !ok {
+		so = &source{held: make(map[string]*item)}
+		un.sources[name] = so
+	}
+	so.connected = true
+	return so
+}
+
+// observe takes what a source says of a server that it holds or that left.
+func (un *Union) observe(so *source, se Server) {
+	if se.ID == "" {
+		return
+	}
+	if se.State == Gone {
+		un.bury(se.ID)
+		return
+	}
+	it, ok := un.items[se.ID]
+	if !ok {
+		if it, ok = un.add(se); !ok {
+			return
+		}
+	}
+	it.sources[so] = struct{}{}
+	so.held[se.ID] = it
+	it.at = un.wa.running
+	un.update(it, se)
+}
+
+// release takes that a source doesn't hold the item any more.
+func (un *Union) release(so *source, it *item) {
+	delete(it.sources, so)
+	if so.connected {
+		it.at = un.wa.running
+	}
+}
+
+// add makes the item of an id, unless that is Gone. If the id was known before,
+// it has its old place in the order of first hearing.
+func (un *Union) add(se Server) (*item, bool) {
+	fa, known := un.past.get(se.ID)
+	if fa.gone {
+		return nil, false
+	}
+	if !known {
+		un.count++
+		fa.order = un.count
+	}
+	un.past.remove(se.ID)
+	it := &item{server: se, order: fa.order, sources: make(map[*source]struct{})}
+	if fa.draining {
+		it.server.State = Draining
+	}
+	un.items[se.ID] = it
+	un.place(it)
+	return it, true
+}
+
+// update takes what was said of an item. Something late is ignored, but for
+// that the server is Draining.
+func (un *Union) update(it *item, se Server) {
+	se.State = max(se.State, it.server.State)
+	if se.Sequence < it.server.Sequence {
+		it.server.State = se.State
+		se = it.server
+	}
+	if ad := it.server.Address; se.Address != ad {
+		un.displace(it)
+		un.show(ad)
+		it.server = se
+		un.place(it)
+	}
+	it.server = se
+	un.show(se.Address)
+}
+
+// bury makes an id Gone.
+func (un *Union) bury(id string) {
+	if it, ok := un.items[id]; ok {
+		un.remove(it, fate{order: it.order, gone: true})
+		return
+	}
+	if fa, _ := un.past.get(id); !fa.gone {
+		un.past.put(un.wa.running, id, fate{order: fa.order, gone: true})
+	}
+}
+
+// remove takes an item out and remembers its fate. If it was the newest at its
+// address, the older ones that aren't held leave with it for good.
+func (un *Union) remove(it *item, fa fate) {
+	ad := it.server.Address
+	newest := ad != "" && !un.superseded(it)
+	delete(un.items, it.server.ID)
+	for so := range it.sources {
+		delete(so.held, it.server.ID)
+	}
+	un.past.put(un.wa.running, it.server.ID, fa)
+	un.displace(it)
+	if newest {
+		blind := un.blind()
+		for _, older := range slices.Clone(un.spots[ad]) {
+			if !older.held() && (!blind || len(older.sources) == 0) {
+				un.remove(older, fate{order: older.order, gone: true})
+			}
+		}
+	}
+	un.show(ad)
+}
+
+// superseded reports whether a newer id has the item's address. Servers without
+// an address don't supersede each other.
+func (un *Union) superseded(it *item) bool {
+	its := un.spots[it.server.Address]
+	return it.server.Address != "" && its[len(its)-1] != it
+}
+
+// place puts an item among those of its address.
+func (un *Union) place(it *item) {
+	its := un.spots[it.server.Address]
+	ix, _ := slices.BinarySearchFunc(its, it.order, func(other *item, order uint64) int {
+		return cmp.Compare(other.order, order)
+	})
+	un.spots[it.server.Address] = slices.Insert(its, ix, it)
+}
+
+// displace takes an item away from its address and lists it no more.
+func (un *Union) displace(it *item) {
+	un.list(it, false)
+	ad := it.server.Address
+	its := slices.DeleteFunc(un.spots[ad], func(other *item) bool { return other == it })
+	if len(its) == 0 {
+		delete(un.spots, ad)
+		return
+	}
+	un.spots[ad] = its
+}
+
+// show lists what is to be listed of the items at an address.
+func (un *Union) show(address string) {
+	for _, it := range un.spots[address] {
+		un.list(it, !un.superseded(it))
+	}
+}
+
+// list lists an item as it is now, or not at all. An item that differs in
+// nothing worth telling stays listed as it was.
+func (un *Union) list(it *item, wanted bool) {
+	if was := it.listed; was != nil {
+		if wanted && was.alike(it.server) {
+			return
+		}
+		delete(un.groups[was.Service], was.ID)
+		un.dirty[was.Service] = struct{}{}
+		it.listed = nil
+		un.changed = true
+	}
+	if !wanted {
+		return
+	}
+	se := it.server
+	it.listed = &se
+	if un.groups[se.Service] == nil {
+		un.groups[se.Service] = make(map[string]Server)
+	}
+	un.groups[se.Service][se.ID] = se
+	un.dirty[se.Service] = struct{}{}
+	un.changed = true
+}
+
+// publish ends a call that may have changed what is listed, and reports whether
+// it has.
+func (un *Union) publish() bool {
+	if !un.changed {
+		return false
+	}
+	un.changed = false
+	un.version++
+	return true
+}
--- /dev/null
+++ b/scatter/scatter.go
@@ -0,0 +1,315 @@
+// Package scatter decides how one request is carried out over the shards of its
+// route: which shard is asked, asked again or hedged, when the parts that are in
+// are given to the caller, and what is said if too few came. A request to a
+// single backend server is a query over one shard.
+//
+// A Query is driven by events with the time in them. It touches no clock and no
+// socket, so that a whole request can be tested as a table of events.
+package scatter
+
+import (
+	"time"
+)
+
+// Plan is what a query is started with.
+type Plan struct {
+	Shards      int           // Shards is how many parts make the whole answer, at least 1.
+	Least       int           // Least is how many parts an answer needs.
+	MaxAttempts int           // MaxAttempts is how many backend servers may run the request for one shard.
+	Repeatable  bool          // Repeatable says whether a request may run more than once.
+	Start       time.Time     // Start is when the request had arrived.
+	Offer       time.Time     // Offer is until when a shard that nobody could be asked for is tried.
+	Hold        time.Time     // Hold is until when missing parts are waited for once Least are in.
+	Deadline    time.Time     // Deadline is when the query is given up.
+	Pause       time.Duration // Pause is the time before a shard is asked again after a refusal.
+}
+
+// Cause says why a shard has no part.
+type Cause uint8
+
+// The causes, the later ones telling more about what happened to the request.
+const (
+	CauseNone     Cause = iota
+	CauseNoServer       // No backend server of the shard is known.
+	CauseBusy           // No connection or slot was to be had, so nothing was sent.
+	CauseBudget         // The retry budget is spent.
+	CauseNotRun         // Backend servers refused it unrun, or were not reached.
+	CauseLate           // It was sent and not answered in time.
+	CauseFailed         // A backend server answered with a failure.
+	CauseLost           // It was sent and the answer was lost or wrong.
+)
+
+// Reply says how an attempt ended.
+type Reply uint8
+
+// The kinds of replies.
+const (
+	ReplyPart   Reply = iota // ReplyPart is a whole success.
+	ReplyNotRun              // ReplyNotRun: refused by the server's own word, or no byte was sent.
+	ReplyFailed              // ReplyFailed: the server answered with a failure of its own.
+	ReplyLost                // ReplyLost: bytes were sent and no good answer came.
+)
+
+// End says that a query is over.
+type End uint8
+
+// The ends of a query.
+const (
+	Running  End = iota
+	Answered     // At least Least parts are in.
+	Failed       // Too few parts came, and more can't.
+	Expired      // The deadline passed.
+)
+
+// Want is something the executor is to try for a shard. It answers with Asked
+// or Denied.
+type Want struct {
+	Shard int
+	Kind  WantKind
+}
+
+// WantKind says for what an attempt is.
+type WantKind uint8
+
+// The kinds of wants.
+const (
+	First WantKind = iota // First is the first arrival for a shard, which costs no budget.
+	Retry                 // Retry follows an attempt that ended without a part.
+	Hedge                 // Hedge runs beside an attempt that is overdue.
+)
+
+const (
+	// refusals is how many backend servers that refused a request unrun are
+	// followed by another one. Each counts as an arrival, so they are bounded
+	// apart from MaxAttempts, which counts those that may have run it.
+	refusals = 3
+)
+
+// shard is the state of one part.
+type shard struct {
+	flying  int // flying counts attempts under way.
+	ran     int // ran counts attempts that may have run.
+	refused int
+	have    bool
+	lost    bool      // lost says that no further attempt is made.
+	next    time.Time // next is when the next ask or hedge is considered.
+	cause   Cause
+}
+
+// Query is the state of one query. It is used by one goroutine.
+type Query struct {
+	pl     Plan
+	shards []shard
+	have   int
+	lost   int
+	end    End
+}
+
+// New returns a query that has asked nobody yet.
+func New(pl Plan) *Query {
+	return &Query{pl: pl, shards: make([]shard, pl.Shards)}
+}
+
+// End returns how the query ended, or Running.
+func (qu *Query) End() End { return qu.end }
+
+// Have returns how many parts are in.
+func (qu *Query) Have() int { return qu.have }
+
+// Has reports whether the part of a shard is in.
+func (qu *Query) Has(sh int) bool { return qu.shards[sh].have }
+
+// Cause returns why a shard has no part yet.
+func (qu *Query) Cause(sh int) Cause { return qu.shards[sh].cause }
+
+// Next appends what is to be tried now to out and returns it. Until the next
+// event, Wake tells when to call it again.
+func (qu *Query) Next(now time.Time, out []Want) []Want {
+	qu.settle(now)
+	if qu.end != Running {
+		return out
+	}
+	for po := range qu.shards {
+		sh := &qu.shards[po]
+		if sh.have || sh.lost || now.Before(sh.next) || !qu.mayAsk(sh) {
+			continue
+		}
+		switch {
+		case sh.flying > 0:
+			out = append(out, Want{po, Hedge})
+		case sh.ran+sh.refused > 0:
+			out = append(out, Want{po, Retry})
+		default:
+			out = append(out, Want{po, First})
+		}
+	}
+	return out
+}
+
+// mayAsk reports whether one more backend server may get the request.
+func (qu *Query) mayAsk(sh *shard) bool {
+	if sh.flying > 0 && !qu.pl.Repeatable {
+		return false // A request that may run once has one attempt at a time.
+	}
+	return sh.ran+sh.flying < max(1, qu.pl.MaxAttempts)
+}
+
+// Asked says that an attempt for a shard is under way. From hedgeAt on a second
+// one is wanted beside it; the zero time means never.
+func (qu *Query) Asked(po int, hedgeAt time.Time) {
+	sh := &qu.shards[po]
+	sh.flying++
+	sh.next = hedgeAt
+	if hedgeAt.IsZero() {
+		sh.next = qu.pl.Deadline
+	}
+}
+
+// Denied says that an attempt could not be begun and may be tried again later.
+// After Offer a shard that nobody is asked for is given up: a caller that waits
+// for nothing is better told so at once.
+func (qu *Query) Denied(now time.Time, po int, ca Cause, again time.Time) {
+	sh := &qu.shards[po]
+	sh.next = again
+	if sh.flying > 0 {
+		return
+	}
+	if sh.cause < ca {
+		sh.cause = ca
+	}
+	if !now.Before(qu.pl.Offer) {
+		qu.lose(sh)
+		qu.settle(now)
+	}
+}
+
+// Replied says how an attempt ended, and settles the query if that decides it.
+func (qu *Query) Replied(now time.Time, po int, re Reply) {
+	sh := &qu.shards[po]
+	sh.flying--
+	if sh.have {
+		return
+	}
+	switch re {
+	case ReplyPart:
+		sh.have, sh.cause = true, CauseNone
+		if sh.lost {
+			sh.lost = false
+			qu.lost--
+		}
+		qu.have++
+	case ReplyNotRun:
+		sh.refused++
+		qu.ended(now, sh, CauseNotRun)
+	case ReplyFailed:
+		sh.ran++
+		qu.ended(now, sh, CauseFailed)
+	case ReplyLost:
+		sh.ran++
+		qu.ended(now, sh, CauseLost)
+	}
+	qu.settle(now)
+}
+
+// ended decides what follows an attempt without a part.
+func (qu *Query) ended(now time.Time, sh *shard, ca Cause) {
+	if sh.cause < ca {
+		sh.cause = ca
+	}
+	if sh.flying > 0 {
+		return // The other attempt may still bring the part.
+	}
+	if sh.ran >= max(1, qu.pl.MaxAttempts) || sh.refused > refusals || (sh.ran > 0 && !qu.pl.Repeatable) {
+		qu.lose(sh)
+		return
+	}
+	sh.next = now
+	if sh.refused > 1 {
+		sh.next = now.Add(qu.pl.Pause * time.Duration(sh.refused-1))
+	}
+}
+
+func (qu *Query) lose(sh *shard) {
+	if !sh.lost {
+		sh.lost = true
+		qu.lost++
+	}
+}
+
+// settle ends the query if nothing better can come of waiting.
+func (qu *Query) settle(now time.Time) {
+	if qu.end != Running {
+		return
+	}
+	total := qu.pl.Shards
+	switch {
+	case qu.have == total:
+		qu.end = Answered
+	case qu.have+qu.lost == total && qu.have >= qu.pl.Least:
+		qu.end = Answered
+	case total-qu.lost < qu.pl.Least:
+		// Enough parts can't come any more: what was given up on is said at once.
+		qu.end = Failed
+	case qu.have >= qu.pl.Least && !now.Before(qu.pl.Hold):
+		qu.end = Answered
+	case !now.Before(qu.pl.Deadline):
+		qu.end = Expired
+	}
+	if qu.end == Answered || qu.end == Running {
+		return
+	}
+	for po := range qu.shards {
+		if sh := &qu.shards[po]; !sh.have && sh.flying > 0 && sh.cause < CauseLate {
+			sh.cause = CauseLate
+		}
+	}
+}
+
+// Wake returns when Next is to be called again if no event comes before.
+func (qu *Query) Wake(now time.Time) time.Time {
+	at := qu.pl.Deadline
+	if qu.have >= qu.pl.Least && qu.pl.Hold.Before(at) {
+		at = qu.pl.Hold
+	}
+	for po := range qu.shards {
+		sh := &qu.shards[po]
+		if !sh.have && !sh.lost && qu.mayAsk(sh) && sh.next.Before(at) {
+			at = sh.next
+		}
+	}
+	if at.Before(now) {
+		return now
+	}
+	return at
+}
+
+// Ran reports whether any backend server may have run the request.
+func (qu *Query) Ran() bool {
+	for _, sh := range qu.shards {
+		if sh.have || sh.ran > 0 || sh.flying > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// String returns the cause in a few words.
+func (ca Cause) String() string {
+	switch ca {
+	case CauseNoServer:
+		return "no backend server is known"
+	case CauseBusy:
+		return "no connection was free"
+	case CauseBudget:
+		return "the retry budget is spent"
+	case CauseNotRun:
+		return "backend servers refused it"
+	case CauseLate:
+		return "no answer in time"
+	case CauseFailed:
+		return "backend servers failed"
+	case CauseLost:
+		return "an answer was lost"
+	}
+	return "no cause"
+}
--- /dev/null
+++ b/tier/control.go
@@ -0,0 +1,146 @@
+package tier
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/feed"
+	"balsamwinch.example/fleet"
+	"balsamwinch.example/link"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/result"
+	"balsamwinch.example/timer"
+)
+
+// Times of a control instance.
+const (
+	// silentAnnouncements is after how many missed announcements a control
+	// instance no longer says that it hears a backend server.
+	silentAnnouncements = 4
+	// proposeWithin bounds one try to have a configuration accepted; operators
+	// send it again to another instance.
+	proposeWithin = 900 * time.Millisecond
+	// readWithin bounds a read of the configuration.
+	readWithin = 900 * time.Millisecond
+	// lastWords is how long a stopping control instance goes on answering.
+	lastWords = 300 * time.Millisecond
+)
+
+// control is a control instance.
+type control struct {
+	sh *shared
+	nd *fleet.Node
+	pu *feed.Publisher
+	lg *zap.Logger
+	ts *timer.Service
+}
+
+func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger) error {
+	co := &control{sh: sh, lg: lg, ts: ts}
+	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
+	co.nd = fleet.New(fleet.Config{
+		Name: se.Name, Address: se.LinkAddress(), Seeds: sh.linkSeeds, First: se.FirstStart, Losses: se.Losses,
+		Dir: se.DataFolder, Election: se.Timing.Election, Heartbeat: se.Timing.Heartbeat, Link: lc,
+	}, ts, lg, co)
+	li, err := listen(se.LinkAddress())
+	if err != nil {
+		return err
+	}
+	sp := supervise("control", lg)
+	if err := serveHTTP(sp, "operators", se.Listen.Control, di.ControlHandler(co)); err != nil {
+		return err
+	}
+	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(co)); err != nil {
+		return err
+	}
+	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
+	sp.Add(service{"fleet", co.nd.Serve})
+	sp.Add(service{"feed", co.pu.Serve})
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := sp.ServeBackground(run)
+	<-ctx.Done()
+	lg.Info("instance-stopping")
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	defer cancel()
+	co.nd.Resign(last)
+	<-last.Done()
+	stop()
+	<-done
+	return nil
+}
+
+// handle serves a link that another instance opened; its first message says
+// which kind of instance it is.
+func (co *control) handle(ctx context.Context, cn *link.Conn) {
+	first, err := cn.Receive()
+	if err != nil {
+		return
+	}
+	if su, ok := first.(feed.Subscribe); ok {
+		co.pu.Handle(ctx, cn, su)
+		return
+	}
+	co.nd.Handle(ctx, cn, first)
+}
+
+// DocumentCommitted tells the entry instances of a configuration.
+func (co *control) DocumentCommitted(version uint64, data []byte) { co.pu.SetDocument(version, data) }
+
+// MembersChanged tells the entry instances which control instances there are.
+func (co *control) MembersChanged(ms []fleet.Member) {
+	out := make([]feed.Member, 0, len(ms))
+	for _, me := range ms {
+		out = append(out, feed.Member{Name: me.Name, Address: me.Address})
+	}
+	co.pu.SetMembers(out)
+}
+
+// Accept makes a configuration the one in force unless a higher version is held.
+func (co *control) Accept(ctx context.Context, version uint64, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+	defer cancel()
+	start := co.ts.Now()
+	err := co.nd.Propose(ctx, version, data)
+	co.lg.Info("configuration-asked", zap.Uint64("Version", version), zap.Int("Bytes", len(data)), zap.Bool("Accepted", err == nil),
+		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err))
+	return err
+}
+
+// Newest returns the newest accepted configuration.
+func (co *control) Newest(ctx context.Context) (uint64, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWithin)
+	defer cancel()
+	version, data, err := co.nd.Read(ctx)
+	if err == nil && version == 0 {
+		err = &result.Error{Code: result.ControlUnavailable, Op: "read configuration", Detail: "none was accepted yet"}
+	}
+	co.lg.Info("configuration-read", zap.Uint64("Version", version), zap.Error(err))
+	return version, data, err
+}
+
+// Announce takes a backend server's announcement.
+func (co *control) Announce(se registry.Server) { co.pu.Announce(se) }
+
+// Leave takes a backend server's word that it leaves.
+func (co *control) Leave(id string) { co.pu.Leave(id) }
+
+// BodyLimit bounds a body of these calls in bytes.
+func (co *control) BodyLimit() int64 { return apiBodyBytes }
+
+// Addresses returns the entry instances to use, those of the data centre first.
+func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
+	ens := co.pu.Entries()
+	near := make([]string, 0, len(ens))
+	var far []string
+	for _, en := range ens {
+		if en.DataCentre == dataCentre {
+			near = append(near, en.Address)
+			continue
+		}
+		far = append(far, en.Address)
+	}
+	return append(near, far...), co.sh.se.Load().Timing.AddressTTL
+}
--- /dev/null
+++ b/tier/dialect.go
@@ -0,0 +1,50 @@
+package tier
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"balsamwinch.example/gateway"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/route"
+)
+
+// Dialect is how the outside speaks: the names of headers, the format of a
+// configuration, and the calls of operators, backend servers and callers.
+type Dialect interface {
+	// Names returns the header names.
+	Names() gateway.Names
+	// Table reads a configuration. The error says why it is invalid.
+	Table(data []byte) (*route.Table, error)
+	// ControlHandler serves operators and backend servers.
+	ControlHandler(co ControlCalls) http.Handler
+	// AddressHandler tells callers which entry instances to use.
+	AddressHandler(ad AddressCalls) http.Handler
+	// ReadyHandler tells whether this instance serves callers.
+	ReadyHandler(ready func() bool) http.Handler
+}
+
+// ControlCalls are what a control instance does for operators and backend
+// servers. Errors are *result.Error.
+type ControlCalls interface {
+	// Accept makes a configuration the one in force unless a higher version is
+	// held. It returns nil once a majority has it on disk.
+	Accept(ctx context.Context, version uint64, data []byte) error
+	// Newest returns the newest accepted configuration, or an error if this
+	// instance can't be sure which it is.
+	Newest(ctx context.Context) (version uint64, data []byte, err error)
+	// Announce takes a backend server's announcement.
+	Announce(se registry.Server)
+	// Leave takes a backend server's word that it leaves.
+	Leave(id string)
+	// BodyLimit bounds a body of these calls in bytes.
+	BodyLimit() int64
+}
+
+// AddressCalls answer callers that ask where to connect.
+type AddressCalls interface {
+	// Addresses returns the entry instances to use, those in the data centre
+	// first, and for how long the answer may be kept.
+	Addresses(dataCentre, region string) ([]string, time.Duration)
+}
--- /dev/null
+++ b/tier/entry.go
@@ -0,0 +1,127 @@
+package tier
+
+import (
+	"context"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/budget"
+	"balsamwinch.example/feed"
+	"balsamwinch.example/gateway"
+	"balsamwinch.example/link"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/replica"
+	"balsamwinch.example/result"
+	"balsamwinch.example/timer"
+	"balsamwinch.example/upstream"
+)
+
+// Bounds of an entry instance.
+const (
+	holdMargin  = 6 * time.Millisecond
+	lingerFor   = 250 * time.Millisecond
+	mostActive  = 400
+	hedgeShare  = 0.08
+	budgetShare = 0.85
+	// serverHold is how long a backend server that no control instance hears any
+	// more is still used: control instances restart, and the announcements that
+	// they missed come only by and by.
+	serverHold = 6 * time.Second
+	// answerWithin is how much of a stop is kept for requests under way after the
+	// last one was taken.
+	answerWithin = 1500 * time.Millisecond
+	// exitBefore is how long before the end of the time for a stop the process ends.
+	exitBefore = 300 * time.Millisecond
+	// garbagePercent trades memory, of which there is plenty, for processor time.
+	garbagePercent = 400
+)
+
+// entry is an entry instance.
+type entry struct {
+	di   Dialect
+	gw   *gateway.Server
+	su   *feed.Subscriber
+	door *door
+	lg   *zap.Logger
+	stop atomic.Bool
+}
+
+func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger) error {
+	debug.SetGCPercent(garbagePercent)
+	now := ts.Now()
+	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
+	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
+	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: se.Budget.Slack, Window: se.Budget.Window, Share: budgetShare}, now)
+	en := &entry{di: di, lg: lg}
+	en.gw = gateway.New(gateway.Config{
+		Names: di.Names(), CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
+	}, ts, lg, up, re, bu)
+	en.su = feed.NewSubscriber(feed.SubscriberConfig{
+		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
+		Seeds: sh.linkSeeds, Link: lc, Hold: serverHold,
+	}, ts, lg, en)
+	li, err := listen(se.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	en.door = newDoor(li, en.gw, ts, lg)
+	sp := supervise("entry", lg)
+	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
+		return err
+	}
+	sp.Add(service{"feed", en.su.Serve})
+	sp.Add(service{"callers", en.door.Serve})
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := sp.ServeBackground(run)
+	<-ctx.Done()
+	en.leave(se.Timing.StopWithin, ts)
+	stop()
+	<-done
+	return nil
+}
+
+// ready reports whether callers may be sent here.
+func (en *entry) ready() bool { return !en.stop.Load() && en.gw.Table() != nil }
+
+// leave stops without cutting a request off. Callers are told at once not to
+// come; those who hold an older list are served until it must have run out.
+func (en *entry) leave(within time.Duration, ts *timer.Service) {
+	start := ts.Now()
+	en.stop.Store(true)
+	en.su.SetState(feed.Draining)
+	en.gw.CloseAfterAnswer()
+	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within))
+	ctx := context.Background()
+	_ = ts.Sleep(ctx, within-answerWithin-exitBefore)
+	en.gw.Refuse()
+	ctx, cancel := context.WithDeadline(ctx, start.Add(within-exitBefore))
+	defer cancel()
+	err := en.gw.WaitIdle(ctx)
+	en.door.Close(ctx)
+	en.lg.Info("callers-served", zap.Int("Active", en.gw.Active()), zap.Error(err))
+}
+
+// ConfigurationChanged puts a configuration in force.
+func (en *entry) ConfigurationChanged(version uint64, data []byte) error {
+	tb, err := en.di.Table(data)
+	if err != nil {
+		return &result.Error{Code: result.Invalid, Op: "read configuration", Err: err}
+	}
+	en.gw.SetTable(tb)
+	en.door.SetLimits(tb.Limits())
+	if !en.stop.Load() {
+		en.su.SetState(feed.Ready)
+	}
+	en.lg.Info("configuration-in-force", zap.Uint64("Version", version), zap.Int("Routes", len(tb.Routes())), zap.Int("Services", len(tb.Services())))
+	return nil
+}
+
+// ServersChanged takes over which backend servers exist.
+func (en *entry) ServersChanged(ses map[string][]registry.Server) { en.gw.SetServers(ses) }
+
+// EntriesChanged takes over which entry instances share the backend servers.
+func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,282 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// readBytes is the size of the read buffer.
+	readBytes = 4 << 10
+	// outBytes is how much of a request goes out in one buffer.
+	outBytes = 16 << 10
+	// headBytes bounds the head of a reply and the interim replies before it.
+	headBytes = 256 << 10
+	// noBudget is the budget of what is bounded elsewhere.
+	noBudget = math.MaxInt
+	// sampleBytes bounds the bytes that are logged.
+	sampleBytes = 64
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// exchange is one request and its reply on a connection. Its buffers and
+// functions serve one exchange after another.
+type exchange struct {
+	cl *Client
+	po *pool
+	cn *conn
+
+	// The request.
+	id     string
+	isHead bool
+	out    []byte // out is the head and as much of the body as fits.
+	mark   int    // mark is where the tail of the head begins in out.
+	rest   []byte // rest is the rest of the body.
+
+	// What went out.
+	begun   bool       // begun says that the connection was looked at.
+	left    bool       // left says that bytes of the request may have left.
+	sent    bool       // sent says that the system took the whole request.
+	writing bool       // writing says that a goroutine writes the rest.
+	written chan error // written gets one value when that goroutine ends.
+
+	// What came in.
+	rd      *bufio.Reader
+	dest    []byte // dest is where step reads to.
+	read    int    // read is how much step read.
+	stepErr error  // stepErr is the error of step.
+	heard   bool   // heard says that a byte came.
+	partial bool   // partial says that reading stopped within a head.
+	budget  int    // budget is how many bytes may still come.
+	interim int    // interim counts the interim replies.
+	ioErr   error  // ioErr is the last error of the connection itself.
+	rs      *http.Response
+	body    []byte
+
+	step      func(fd uintptr) bool
+	interrupt func()
+	fired     chan struct{} // fired gets one value when interrupt has run.
+}
+
+func (cl *Client) newExchange(rq *Request) *exchange {
+	ex, _ := cl.exchanges.Get().(*exchange)
+	if ex == nil {
+		ex = &exchange{cl: cl, written: make(chan error, 1), fired: make(chan struct{}, 1)}
+		ex.rd = bufio.NewReaderSize(ex, readBytes)
+		ex.step = ex.onTurn
+		ex.interrupt = ex.onContextEnd
+	}
+	ex.id, ex.isHead = rq.RequestID, rq.Method == http.MethodHead
+	return ex
+}
+
+// freeExchange keeps the buffers of an exchange for the next one.
+func (cl *Client) freeExchange(ex *exchange) {
+	ex.po, ex.cn, ex.id, ex.rest = nil, nil, "", nil
+	ex.rs, ex.body, ex.dest, ex.stepErr, ex.ioErr = nil, nil, nil, nil, nil
+	if cap(ex.out) <= 2*outBytes {
+		cl.exchanges.Put(ex)
+	}
+}
+
+// prepare writes what is known of the head before there is a connection.
+func (ex *exchange) prepare(rq *Request) error {
+	out, ok := appendHead(ex.out[:0], rq, &ex.cl.cf.Names)
+	ex.out, ex.mark = out, len(out)
+	if !ok {
+		return ErrRequest
+	}
+	return nil
+}
+
+// attach begins an exchange on a connection.
+func (ex *exchange) attach(po *pool, cn *conn) {
+	ex.po, ex.cn = po, cn
+	ex.begun, ex.left, ex.sent, ex.writing = false, false, false, false
+	ex.heard, ex.partial, ex.budget, ex.interim = false, false, headBytes, 0
+	ex.ioErr, ex.rs, ex.body = nil, nil, nil
+	ex.rd.Reset(ex)
+}
+
+// run performs the exchange. It reports true if the connection turned out to be
+// of no use before any byte left, so that another one may take the request.
+func (ex *exchange) run(ctx context.Context, ta Target, rq *Request) (Result, bool) {
+	ex.address(ta, rq)
+	ex.setDeadline(rq.Deadline)
+	err := ex.receiveWithin(ctx)
+	re := Result{Fresh: !ex.cn.used, Sent: ex.left}
+	ex.cn.used = ex.cn.used || ex.left
+	switch {
+	case err == nil:
+		ex.finish(&re)
+	case !ex.left:
+		return re, ex.unsent(ctx, &re, err)
+	default:
+		ex.fail(ctx, &re, err, rq.Linger)
+	}
+	return re, false
+}
+
+// address completes the request for a server.
+func (ex *exchange) address(ta Target, rq *Request) {
+	ex.out = appendTail(ex.out[:ex.mark], &ex.cl.cf.Names, ta, rq, ex.cl.ts.Now())
+	fits := min(len(rq.Body), max(0, outBytes-len(ex.out)))
+	ex.out = append(ex.out, rq.Body[:fits]...)
+	ex.rest = rq.Body[fits:]
+}
+
+// receiveWithin sends the request and reads the reply, until the context ends.
+func (ex *exchange) receiveWithin(ctx context.Context) error {
+	if ctx.Done() == nil {
+		return ex.receive()
+	}
+	stop := context.AfterFunc(ctx, ex.interrupt)
+	err := ex.receive()
+	if !stop() {
+		// The interruption has begun. It must be over before the connection goes
+		// to another request, which it would hit instead.
+		<-ex.fired
+	}
+	return err
+}
+
+func (ex *exchange) onContextEnd() {
+	ex.setDeadline(past)
+	ex.fired <- struct{}{}
+}
+
+// setDeadline bounds reading. Writing never waits where the descriptor is used
+// directly, and the goroutine that writes a long body ends with the connection.
+func (ex *exchange) setDeadline(at time.Time) {
+	if ex.cn.raw != nil {
+		_ = ex.cn.nc.SetReadDeadline(at)
+	} else {
+		_ = ex.cn.nc.SetDeadline(at)
+	}
+}
+
+// finish ends an exchange with a whole reply.
+func (ex *exchange) finish(re *Result) {
+	clean := ex.noteKeeping()
+	if !ex.judge(re) {
+		clean = false
+	}
+	ex.end(clean)
+}
+
+// unsent ends an exchange of which no byte left, and reports whether another
+// connection may take it.
+func (ex *exchange) unsent(ctx context.Context, re *Result, err error) bool {
+	switch {
+	case ctx.Err() != nil:
+		gr := contextGrant(ctx)
+		re.Outcome, re.Err = gr.outcome, ex.error(gr.err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		re.Outcome, re.Err = TimedOut, ex.error(ErrDeadline)
+	default:
+		re.Outcome, re.Err = NotSent, ex.error(err)
+	}
+	if errors.Is(err, errEarly) {
+		ex.po.wrongBytes(errEarly, nil)
+	}
+	if ex.begun {
+		ex.po.discard(ex.cn)
+	} else {
+		ex.po.release(ex.cn)
+	}
+	if re.Outcome == NotSent && !re.Fresh {
+		return true
+	}
+	ex.cl.freeExchange(ex)
+	return false
+}
+
+// fail ends an exchange of which bytes left and to which no whole reply came.
+func (ex *exchange) fail(ctx context.Context, re *Result, err error, linger time.Duration) {
+	switch {
+	case ctx.Err() != nil:
+		gr := contextGrant(ctx)
+		re.Outcome, re.Err = gr.outcome, ex.error(gr.err)
+		if linger > 0 && errors.Is(context.Cause(ctx), ErrSuperseded) && ex.resumable() {
+			ex.po.linger(ex.cn)
+			go ex.readOut(linger)
+			return
+		}
+	case errors.Is(ex.ioErr, os.ErrDeadlineExceeded):
+		re.Outcome, re.Err = TimedOut, ex.error(ErrDeadline)
+	case ex.ioErr == nil && !errors.Is(err, errLongBody):
+		re.Outcome, re.Err = Wrong, ex.error(err)
+		sample, _ := ex.rd.Peek(min(ex.rd.Buffered(), sampleBytes))
+		ex.po.wrongBytes(err, sample)
+	default:
+		re.Outcome, re.Err = Lost, ex.error(err)
+	}
+	ex.end(false)
+}
+
+func (ex *exchange) error(err error) error {
+	return &Error{Server: ex.po.id, Address: ex.cn.address, Err: err}
+}
+
+// end gives up the connection, and keeps it for other requests if it is clean.
+func (ex *exchange) end(clean bool) {
+	if ex.writerDone() && clean {
+		ex.po.release(ex.cn)
+	} else {
+		ex.po.discard(ex.cn)
+	}
+	ex.cl.freeExchange(ex)
+}
+
+// writerDone reports whether the whole request was written. It ends the goroutine
+// that still writes, with the connection.
+//
+// A server may answer before it has read a long body. If the connection were
+// used again, the server would get the next request where the rest of that body
+// is due. And the body is the caller's again once Do returned.
+func (ex *exchange) writerDone() bool {
+	if !ex.writing {
+		return ex.sent
+	}
+	select {
+	case err := <-ex.written:
+		return err == nil
+	default:
+		_ = ex.cn.nc.Close()
+		<-ex.written
+		return false
+	}
+}
+
+// resumable reports whether the reply can still be read out: the request left
+// whole, and reading stopped where it can go on.
+func (ex *exchange) resumable() bool {
+	if !ex.sent || !errors.Is(ex.ioErr, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if ex.rs == nil {
+		return !ex.partial
+	}
+	return ex.rs.ContentLength >= 0
+}
+
+// readOut reads the rest of a reply that nobody waits for, to keep the
+// connection.
+func (ex *exchange) readOut(wait time.Duration) {
+	ex.ioErr = nil
+	ex.setDeadline(ex.cl.ts.Now().Add(wait))
+	clean := false
+	if ex.receive() == nil {
+		clean = ex.noteKeeping()
+		clean = ex.judge(&Result{}) && clean
+	}
+	ex.po.endLinger(ex.cn, clean)
+	ex.cl.freeExchange(ex)
+}
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,158 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// appendHead appends the head of a request, but for the lines that are only
+// known when it goes out and the empty line. It reports false if the request
+// can't be written: a line break in any of its parts would begin another line,
+// or another request.
+func appendHead(bs []byte, rq *Request, na *Names) ([]byte, bool) {
+	if !isToken(rq.Method) || rq.Method == http.MethodConnect || !isURI(rq.URI) || !isURI(rq.Host) {
+		return bs, false
+	}
+	bs = append(bs, rq.Method...)
+	bs = append(bs, ' ')
+	bs = append(bs, rq.URI...)
+	bs = append(bs, " HTTP/1.1\r\nHost: "...)
+	bs = append(bs, rq.Host...)
+	bs = append(bs, "\r\n"...)
+	named := rq.Header["Connection"]
+	for ke, vs := range rq.Header {
+		if isOwn(ke, na) || isHop(ke) || isNamed(ke, named) {
+			continue
+		}
+		if !isToken(ke) {
+			return bs, false
+		}
+		for _, va := range vs {
+			if !isValue(va) {
+				return bs, false
+			}
+			bs = appendLine(bs, ke, va)
+		}
+	}
+	if len(rq.Body) > 0 || usuallyHasBody(rq.Method) {
+		bs = append(bs, "Content-Length: "...)
+		bs = strconv.AppendInt(bs, int64(len(rq.Body)), 10)
+		bs = append(bs, "\r\n"...)
+	}
+	return bs, true
+}
+
+// appendTail appends the last lines of a head: the time left, which server is
+// meant, and the empty line.
+func appendTail(bs []byte, na *Names, ta Target, rq *Request, now time.Time) []byte {
+	if na.Deadline != "" && !rq.Deadline.IsZero() {
+		bs = append(bs, na.Deadline...)
+		bs = append(bs, ": "...)
+		bs = strconv.AppendInt(bs, max(1, rq.Deadline.Sub(now).Milliseconds()), 10)
+		bs = append(bs, "\r\n"...)
+	}
+	if na.Expect != "" && rq.Expect {
+		bs = appendLine(bs, na.Expect, ta.ID)
+	}
+	return append(bs, "\r\n"...)
+}
+
+func appendLine(bs []byte, name, value string) []byte {
+	bs = append(bs, name...)
+	bs = append(bs, ": "...)
+	bs = append(bs, value...)
+	return append(bs, "\r\n"...)
+}
+
+func usuallyHasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// isOwn reports whether the exchange sets a header itself.
+func isOwn(name string, na *Names) bool {
+	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "Content-Length") ||
+		strings.EqualFold(name, na.Deadline) || strings.EqualFold(name, na.Expect)
+}
+
+// isHop reports whether a header concerns one connection only. It is asked for
+// names in any case: one that slips through could frame the body differently
+// from Content-Length.
+func isHop(name string) bool {
+	if name == "" {
+		return false
+	}
+	switch name[0] | 0x20 {
+	case 'c':
+		return strings.EqualFold(name, "Connection")
+	case 'k':
+		return strings.EqualFold(name, "Keep-Alive")
+	case 'p':
+		const prefix = "Proxy-"
+		return len(name) >= len(prefix) && strings.EqualFold(name[:len(prefix)], prefix)
+	case 't':
+		return strings.EqualFold(name, "Te") || strings.EqualFold(name, "Trailer") || strings.EqualFold(name, "Transfer-Encoding")
+	case 'u':
+		return strings.EqualFold(name, "Upgrade")
+	}
+	return false
+}
+
+// isNamed reports whether a header is named by the values of Connection.
+func isNamed(name string, values []string) bool {
+	for _, va := range values {
+		for to := range strings.SplitSeq(va, ",") {
+			if strings.EqualFold(strings.TrimSpace(to), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stripHop takes the headers that concern one connection out of a reply's.
+func stripHop(he http.Header) {
+	named := he["Connection"]
+	for ke := range he {
+		if isHop(ke) || (named != nil && isNamed(ke, named)) {
+			delete(he, ke)
+		}
+	}
+}
+
+// isToken reports whether a string is a token of HTTP.
+func isToken(st string) bool {
+	if st == "" {
+		return false
+	}
+	for _, ch := range []byte(st) {
+		if ch <= ' ' || ch >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, ch) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isURI reports whether a string is without spaces and control characters.
+func isURI(st string) bool {
+	if st == "" {
+		return false
+	}
+	for _, ch := range []byte(st) {
+		if ch <= ' ' || ch == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isValue reports whether a string may be the value of a header.
+func isValue(st string) bool {
+	for _, ch := range []byte(st) {
+		if (ch < ' ' && ch != '\t') || ch == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/upstream/head_test.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func headOf(rq *Request, expect bool, left time.Duration) (string, bool) {
+	now := time.Now()
+	rq.Expect = expect
+	if left != 0 {
+		rq.Deadline = now.Add(left)
+	}
+	bs, ok := appendHead(nil, rq, &testNames)
+	if !ok {
+		return "", false
+	}
+	ls := strings.Split(string(appendTail(bs, &testNames, Target{ID: "i-7"}, rq, now)), "\r\n")
+	// The order of headers of different names is free.
+	sort.Strings(ls[1 : len(ls)-2])
+	return strings.Join(ls, "|"), true
+}
+
+func TestHead(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		method string
+		header http.Header
+		body   string
+		expect bool
+		left   time.Duration
+		want   string
+	}{
+		{"plain", "GET", nil, "", false, 0, "GET /x?y HTTP/1.1|Host: h||"},
+		{"headers", "GET", http.Header{"A": {"1", "2"}, "B": {""}}, "", false, 0, "GET /x?y HTTP/1.1|A: 1|A: 2|B: |Host: h||"},
+		{"deadline", "GET", nil, "", false, 1999999 * time.Microsecond, "GET /x?y HTTP/1.1|Deadline-Ms: 1999|Host: h||"},
+		{"least deadline", "GET", nil, "", false, time.Microsecond, "GET /x?y HTTP/1.1|Deadline-Ms: 1|Host: h||"},
+		{"deadline passed", "GET", nil, "", false, -time.Second, "GET /x?y HTTP/1.1|Deadline-Ms: 1|Host: h||"},
+		{"expect", "GET", nil, "", true, 0, "GET /x?y HTTP/1.1|Expect-Server: i-7|Host: h||"},
+		{"caller's deadline replaced", "GET", http.Header{"Deadline-Ms": {"9"}}, "", false, time.Second, "GET /x?y HTTP/1.1|Deadline-Ms: 1000|Host: h||"},
+		{"caller's expect left out", "GET", http.Header{"Expect-Server": {"i-9"}}, "", false, 0, "GET /x?y HTTP/1.1|Host: h||"},
+		{"body", "GET", nil, "abc", false, 0, "GET /x?y HTTP/1.1|Content-Length: 3|Host: h||"},
+		{"empty POST", "POST", nil, "", false, 0, "POST /x?y HTTP/1.1|Content-Length: 0|Host: h||"},
+		{"empty PUT", "PUT", nil, "", false, 0, "PUT /x?y HTTP/1.1|Content-Length: 0|Host: h||"},
+		{"empty DELETE", "DELETE", nil, "", false, 0, "DELETE /x?y HTTP/1.1|Host: h||"},
+		{"caller's framing left out", "POST", http.Header{"Content-Length": {"9"}, "Transfer-Encoding": {"chunked"}, "Host": {"z"}}, "a", false, 0, "POST /x?y HTTP/1.1|Content-Length: 1|Host: h||"},
+		{"framing in any case", "POST", http.Header{"content-length": {"9"}, "transfer-encoding": {"chunked"}}, "a", false, 0, "POST /x?y HTTP/1.1|Content-Length: 1|Host: h||"},
+		{"hop by hop", "GET", http.Header{
+			"Connection": {"x-a, X-B", "close"}, "X-A": {"1"}, "X-B": {"1"}, "X-C": {"1"}, "Keep-Alive": {"timeout=1"}, "Proxy-Authorization": {"p"},
+			"Proxy-Connection": {"close"}, "Te": {"trailers"}, "Trailer": {"X"}, "Upgrade": {"h2c"},
+		}, "", false, 0, "GET /x?y HTTP/1.1|Host: h|X-C: 1||"},
+		{"other bytes in a value", "GET", http.Header{"A": {"caf\xc3\xa9\t1"}}, "", false, 0, "GET /x?y HTTP/1.1|A: caf\xc3\xa9\t1|Host: h||"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rq := &Request{Method: tc.method, URI: "/x?y", Host: "h", Header: tc.header, Body: []byte(tc.body)}
+			got, ok := headOf(rq, tc.expect, tc.left)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, got, qt.Equals, tc.want)
+		})
+	}
+}
+
+// A caller hides a second request in a part of the first. It would run at the
+// server without ever having been a request of its own here, and its reply would
+// go to somebody else. Cause: a line break that is written as it came.
+func TestHeadRefusesLineBreaks(t *testing.T) {
+	qc := qt.New(t)
+	for _, rq := range []Request{
+		{Method: "GET\r\n", URI: "/", Host: "h"},
+		{Method: "", URI: "/", Host: "h"},
+		{Method: "CONNECT", URI: "h:1", Host: "h"},
+		{Method: "GET", URI: "/ HTTP/1.1\r\nA: b", Host: "h"},
+		{Method: "GET", URI: "/a b", Host: "h"},
+		{Method: "GET", URI: "", Host: "h"},
+		{Method: "GET", URI: "/", Host: "h\r\nA: b"},
+		{Method: "GET", URI: "/", Host: ""},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A": {"b\r\nC: d"}}},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A": {"b\nC: d"}}},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A": {"b\x00"}}},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A: b\r\nC": {"d"}}},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"A ": {"d"}}},
+		{Method: "GET", URI: "/", Host: "h", Header: http.Header{"": {"d"}}},
+	} {
+		_, ok := headOf(&rq, false, 0)
+		qc.Check(ok, qt.IsFalse, qt.Commentf("%q", rq))
+	}
+	cl := newClient(qc, Config{Connect: unreachable})
+	rq := get()
+	rq.URI = "/a b"
+	re := cl.Do(within(t), Target{ID: "i-1", Connections: 1}, rq)
+	qc.Assert(re.Outcome, qt.Equals, NotSent)
+	qc.Assert(re.Err, qt.ErrorIs, ErrRequest)
+}
+
+func TestStripHop(t *testing.T) {
+	he := http.Header{
+		"Connection": {"Keep-Alive, x-a"}, "X-A": {"1"}, "X-B": {"1"}, "Keep-Alive": {"timeout=1"}, "Proxy-Authenticate": {"p"},
+		"Te": {"t"}, "Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"u"}, "Content-Type": {"c"},
+	}
+	stripHop(he)
+	qt.Assert(t, he, qt.DeepEquals, http.Header{"X-B": {"1"}, "Content-Type": {"c"}})
+}
--- a/wal/system.go
+++ b/wal/system.go
@@ -38,6 +38,9 @@
 // system is the FileSystem of the operating system.
 type system struct{}
 
+// System returns the file system of the operating system, which Open uses.
+func System() FileSystem { return system{} }
+
 const (
 	filePermissions   = 0o600
 	folderPermissions = 0o700
