--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,8 +103,8 @@
 	report atomic.Pointer[Report]   // report is what others are told of this instance.
 	// sequence numbers the reports.
 	sequence atomic.Uint64
-	status atomic.Pointer[Status]
-	random struct {
+	status   atomic.Pointer[Status]
+	random   struct {
 		sync.Mutex
 		*rand.Rand
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -103,7 +103,7 @@
 	if wa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
-	if wa.Kind != scatter.First && cr.arrived[wa.Shard] && !sv.bu.Spend(now, service, keep(wa.Kind)) {
+	if cr.costs(wa) && !sv.bu.Spend(now, service, keep(wa.Kind)) {
 		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
 		return
 	}
@@ -130,6 +130,13 @@
 	go cr.exchange(ctx, attempt{shard: wa.Shard, pk: pk})
 }
 
+// costs reports whether an attempt is an arrival beyond the first. A retry is
+// none if no earlier attempt has reached a backend server; a hedge always is,
+// since the attempt beside it has been sent by then.
+func (cr *carrier) costs(wa scatter.Want) bool {
+	return wa.Kind == scatter.Hedge || wa.Kind == scatter.Retry && cr.arrived[wa.Shard]
+}
+
 func keep(wk scatter.WantKind) float64 {
 	if wk == scatter.Hedge {
 		return keepForRetries
--- a/registry/item.go
+++ b/registry/item.go
@@ -119,12 +119,11 @@
 	}
 	if ad := it.server.Address; se.Address != ad {
 		un.displace(it)
-		un.show(ad)
 		it.server = se
 		un.place(it)
 	}
 	it.server = se
-	un.show(se.Address)
+	un.touched[se.Address] = struct{}{}
 }
 
 // bury makes an id Gone.
@@ -149,6 +148,7 @@
 	}
 	un.past.put(un.wa.running, it.server.ID, fa)
 	un.displace(it)
+	un.list(it, false)
 	if newest {
 		blind := un.blind()
 		for _, older := range slices.Clone(un.spots[ad]) {
@@ -157,7 +157,6 @@
 			}
 		}
 	}
-	un.show(ad)
 }
 
 // superseded reports whether a newer id has the item's address. Servers without
@@ -176,9 +175,8 @@
 	un.spots[it.server.Address] = slices.Insert(its, ix, it)
 }
 
-// displace takes an item away from its address and lists it no more.
+// displace takes an item away from its address.
 func (un *Union) displace(it *item) {
-	un.list(it, false)
 	ad := it.server.Address
 	its := slices.DeleteFunc(un.spots[ad], func(other *item) bool { return other == it })
 	if len(its) == 0 {
@@ -186,9 +184,10 @@
 		return
 	}
 	un.spots[ad] = its
+	un.touched[ad] = struct{}{}
 }
 
-// show lists what is to be listed of the items at an address.
+// show lists, of the items at an address, what is to be listed.
 func (un *Union) show(address string) {
 	for _, it := range un.spots[address] {
 		un.list(it, !un.superseded(it))
@@ -221,8 +220,12 @@
 }
 
 // publish ends a call that may have changed what is listed, and reports whether
-// it has.
+// it has. What came and went within the call is not to be seen.
 func (un *Union) publish() bool {
+	for ad := range un.touched {
+		un.show(ad)
+	}
+	clear(un.touched)
 	if !un.changed {
 		return false
 	}
--- a/registry/union.go
+++ b/registry/union.go
@@ -39,6 +39,7 @@
 	count   uint64 // count is how many ids were heard of for the first time.
 
 	version uint64
+	touched map[string]struct{}          // touched holds the addresses that must be looked at before the call ends.
 	changed bool                         // changed says that groups differ since version was set.
 	groups  map[string]map[string]Server // groups holds the listed servers by service and id.
 	dirty   map[string]struct{}          // dirty holds the services whose group differs from listed.
@@ -55,6 +56,7 @@
 		items:   make(map[string]*item),
 		spots:   make(map[string][]*item),
 		past:    newMemory[fate](mostPast),
+		touched: make(map[string]struct{}),
 		groups:  make(map[string]map[string]Server),
 		dirty:   make(map[string]struct{}),
 		listed:  make(map[string][]Server),
@@ -82,7 +84,7 @@
 }
 
 // Apply takes changes in the book of a source, in their order. The source
-// counts as connected.
+// counts as connected; after Disconnect, Replace must come first.
 func (un *Union) Apply(now time.Time, source string, chs []Change) {
 	un.mu.Lock()
 	defer un.mu.Unlock()
@@ -189,7 +191,7 @@
 	return listed
 }
 
-// Version returns a number that grows with every change of Servers.
+// Version returns a number that grows with every change of Servers, and only then.
 func (un *Union) Version() uint64 {
 	un.mu.Lock()
 	defer un.mu.Unlock()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -17,6 +17,8 @@
 	outBytes = 16 << 10
 	// headBytes bounds the head of a reply and the interim replies before it.
 	headBytes = 256 << 10
+	// writeGrace is how long the end of a written body is awaited after the reply.
+	writeGrace = 2 * time.Millisecond
 	// noBudget is the budget of what is bounded elsewhere.
 	noBudget = math.MaxInt
 	// sampleBytes bounds the bytes that are logged.
@@ -227,7 +229,7 @@
 
 // end gives up the connection, and keeps it for other requests if it is clean.
 func (ex *exchange) end(clean bool) {
-	if ex.writerDone() && clean {
+	if clean = ex.endWriter(clean) && clean; clean {
 		ex.po.release(ex.cn)
 	} else {
 		ex.po.discard(ex.cn)
@@ -235,24 +237,26 @@
 	ex.cl.freeExchange(ex)
 }
 
-// writerDone reports whether the whole request was written. It ends the goroutine
-// that still writes, with the connection.
+// endWriter reports whether the whole request was written. A goroutine that still
+// writes ends with the connection; if that could be kept, it gets a moment
+// first, as the server may have read the end before the goroutine runs again.
 //
 // A server may answer before it has read a long body. If the connection were
 // used again, the server would get the next request where the rest of that body
 // is due. And the body is the caller's again once Do returned.
-func (ex *exchange) writerDone() bool {
+func (ex *exchange) endWriter(clean bool) bool {
 	if !ex.writing {
 		return ex.sent
 	}
-	select {
-	case err := <-ex.written:
-		return err == nil
-	default:
+	if !clean {
 		_ = ex.cn.nc.Close()
 		<-ex.written
 		return false
 	}
+	nc := ex.cn.nc
+	ti := ex.cl.ts.Timeout(writeGrace, func() { _ = nc.Close() })
+	err := <-ex.written
+	return ti.Stop() && err == nil
 }
 
 // resumable reports whether the reply can still be read out: the request left
