gateway: leave room among the connections of backend servers

Ruled out: the number of entry instances (it was right). Change: 0.7 of the cap is divided, one connection while a process is young.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,8 @@
 	bu *budget.Budget
 	pk *route.Picker
 
+	started time.Time
+
 	tb      atomic.Pointer[route.Table]
 	shares  atomic.Pointer[map[string]int]
 	refuse  atomic.Bool
@@ -78,6 +80,8 @@
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
 	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker()}
 	sv.shares.Store(&map[string]int{})
+	sv.started = ts.Now()
+	ts.Timeout(youngFor, sv.share)
 	return sv
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -107,7 +107,7 @@
 		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
 		return
 	}
-	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard]}
+	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable()}
 	pk, ok := sv.re.Choose(now, as)
 	if !ok {
 		cr.qu.Denied(now, wa.Shard, scatter.CauseNoServer, now.Add(noServerPause))
@@ -123,7 +123,7 @@
 	cr.picks[wa.Shard] = pk
 	cr.tried[wa.Shard] = append(cr.tried[wa.Shard], pk.Server.ID)
 	var hedgeAt time.Time
-	if cr.ca.repeatable() {
+	if cr.ca.repeatable() && !(wa.Kind == scatter.Hedge && pk.Doubtful) {
 		hedgeAt = now.Add(sv.re.HedgeAfter(now, as, pk))
 	}
 	cr.qu.Asked(wa.Shard, hedgeAt)
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -10,6 +10,18 @@
 // is replaced overlaps with its successor, and its connections end late.
 const entryMemory = 20 * time.Second
 
+const (
+	// connectionShare is the part of a backend server's connections that all entry
+	// instances together may open.
+	connectionShare = 0.7
+	// youngFor is how long a process that has just started opens one connection to
+	// each backend server at most. If its predecessor lost power, so did perhaps
+	// all others, and the backend servers still count connections whose other ends
+	// are gone: until they notice, what is opened beyond their limit is reset, with
+	// the request on it.
+	youngFor = 6 * time.Second
+)
+
 // entryCount is the highest number of entry instances seen lately.
 type entryCount struct {
 	now, top int
@@ -32,13 +44,14 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	entries := max(1, sv.entries.top)
+	young := sv.ts.Now().Sub(sv.started) < youngFor
 	shares := make(map[string]int)
 	targets := make(map[string]upstream.Target)
 	for name, ses := range sv.servers {
 		most := 1
 		if tb != nil {
-			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 {
-				most = max(1, se.MaxConnections/entries)
+			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 && !young {
+				most = max(1, int(connectionShare*float64(se.MaxConnections)/float64(entries)))
 			}
 		}
 		shares[name] = most
