--- a/registry/item.go
+++ b/registry/item.go
@@ -17,7 +17,7 @@
 	server  Server
 	order   uint64 // order is the place in the order of first hearing.
 	sources map[*source]struct{}
-	at      time.Duration // at is when a connected source was last known to hold it.
+	at      time.Duration // at is when a connected source last held it; it lags while one does.
 	listed  *Server       // listed is what is in the groups of it; nil if nothing is.
 }
 
@@ -76,7 +76,6 @@
 	}
 	it.sources[so] = struct{}{}
 	so.held[se.ID] = it
-	it.at = un.wa.running
 	un.update(it, se)
 }
 
--- a/registry/memory_test.go
+++ b/registry/memory_test.go
@@ -44,7 +44,8 @@
 		{"gap", []time.Duration{0, 4}, 4},
 		{"greater gap", []time.Duration{0, 5}, 0},
 		{"after a gap", []time.Duration{0, 3, 100, 102}, 5},
-		{"back", []time.Duration{0, 3, 1, 4}, 4},
+		{"back", []time.Duration{0, 3, 1}, 3},
+		{"back and on", []time.Duration{0, 3, 1, 4}, 4},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			wa := watch{gap: 4}
--- a/registry/union_test.go
+++ b/registry/union_test.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// pass lets the time pass, of which the union hears at the next step.
+func pass(du time.Duration) step {
+	return func(wo *world) { wo.now = wo.now.Add(du) }
+}
+
 // suspend lets the time pass unseen.
 func suspend(du time.Duration) step {
 	return func(wo *world) {
@@ -114,7 +119,6 @@
 			{announce("1", ready("c", 1)), "a b c"},
 			{replace("3"), "a b c"},
 		}},
-		{"no id", []check{{replace("1", ready("", 1)), ""}, {announce("1", left("")), ""}}},
 		{"change before the book", []check{{announce("1", ready("a", 1)), "a"}}},
 		{"held by one is enough", []check{
 			{replace("1", ready("a", 1)), "a"},
@@ -219,6 +223,23 @@
 			{wait(hold - tick), "a b"},
 			{wait(tick), "b"},
 		}},
+		{"connected until between two looks", []check{
+			{replace("1", ready("a", 1)), "a"},
+			{replace("2"), "a"},
+			{pass(hold / 2), "a"},
+			{disconnect("1"), "a"},
+			{wait(hold - tick), "a"},
+			{wait(tick), ""},
+		}},
+		{"forgotten while disconnected", []check{
+			{replace("1", ready("a", 1)), "a"},
+			{replace("2"), "a"},
+			{disconnect("1"), "a"},
+			{wait(hold / 2), "a"},
+			{forget("1"), "a"},
+			{wait(hold/2 - tick), "a"},
+			{wait(tick), ""},
+		}},
 		{"the last forgotten", []check{{replace("1", ready("a", 1)), "a"}, {forget("1"), "a"}, {wait(10 * hold), "a"}}},
 		{"one address", []check{
 			{replace("1", at("a", "x", 5)), "a"},
@@ -245,7 +266,20 @@
 			{drop("1", "a"), "c"},
 			{announce("1", left("c")), ""},
 		}},
-		{"no address", []check{{replace("1", at("a", "", 1), at("b", "", 1)), "a b"}, {announce("1", left("b")), "a"}}},
+		{"no address", []check{
+			{replace("1", at("a", "", 1), at("b", "", 1)), "a b"},
+			{drop("1", "a"), "a b"},
+			{announce("1", left("b")), "a"},
+			{wait(hold), ""},
+			{announce("1", at("a", "", 2)), "a"},
+		}},
+		{"held until between two looks", []check{
+			{replace("1", ready("a", 1)), "a"},
+			{pass(hold / 2), "a"},
+			{drop("1", "a"), "a"},
+			{wait(hold - tick), "a"},
+			{wait(tick), ""},
+		}},
 		{"moved", []check{
 			{replace("1", at("a", "x", 1)), "a"},
 			{announce("1", at("a", "y", 2)), "a"},
@@ -384,6 +418,11 @@
 	c.Assert(un.Servers(), qt.DeepEquals, map[string][]Server{})
 	c.Assert(un.Version(), qt.Equals, uint64(0))
 
+	replace("1", ready("", 1), Server{Service: "s", Address: "x", State: Gone})(wo)
+	c.Assert(un.Servers(), qt.DeepEquals, map[string][]Server{}, qt.Commentf("no id"))
+	c.Assert(un.past.byID, qt.HasLen, 0)
+	c.Assert(un.Version(), qt.Equals, uint64(0))
+
 	other := Server{ID: "t1", Service: "t", Address: "t1:1", Slots: 4, State: Draining, Sequence: 3, WarmMillis: 10}
 	replace("1", ready("b", 1), other, ready("a", 1))(wo)
 	first := un.Servers()
@@ -435,6 +474,7 @@
 		{"lower, same source", []step{replace("1", slots(2, 4)), replace("1", slots(1, 3))}, slots(2, 4)},
 		{"stays when its source drops it", []step{replace("1", slots(2, 4)), replace("2", slots(1, 3)), drop("1", "a")}, slots(2, 4)},
 		{"after a sequence that was not told", []step{replace("1", slots(1, 4)), replace("1", slots(5, 4)), replace("2", slots(3, 3))}, slots(1, 4)},
+		{"without sequences", []step{replace("1", slots(0, 3)), replace("1", slots(0, 4))}, slots(0, 4)},
 		{"other service", []step{replace("1", slots(1, 4)), announce("1", moved)}, moved},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -31,7 +31,6 @@
 		ts   []Target
 		want string
 	}{
-		{"none", nil, ""},
 		{"one", []Target{{"a", 1}}, "aaaa"},
 		{"one without weight", []Target{{"a", 0}}, "aa"},
 		{"halves", []Target{{"a", 1}, {"b", 1}}, "abababab"},
@@ -42,6 +41,7 @@
 		{"none to the last", []Target{{"a", 1}, {"b", 1}, {"c", 0}}, "ababab"},
 		{"all to one", []Target{{"a", 0}, {"b", 9}}, "bbbb"},
 		{"below 0", []Target{{"a", -5}, {"b", 1}}, "bbbb"},
+		{"below 0, two more", []Target{{"a", -5}, {"b", 2}, {"c", 1}}, "bcbbcb"},
 		{"no weight", []Target{{"a", 0}, {"b", 0}}, "aaaa"},
 		{"greatest", []Target{{"a", mostWeight / 2}, {"b", mostWeight / 2}}, "abab"},
 		{"same service twice", []Target{{"a", 1}, {"a", 1}, {"b", 1}}, "aabaab"},
@@ -53,6 +53,11 @@
 	}
 }
 
+func TestPickNone(t *testing.T) {
+	ro := sharded("r", "a", "b")
+	qt.Assert(t, newPicker(0).Pick(&ro), qt.Equals, "")
+}
+
 func drawTargets(t *rapid.T, mostWeight int) ([]Target, int) {
 	var ts []Target
 	sum := 0
