fleet, scatter: serve again right after all lost power

Cause: after the final fault nobody served for 2.4 s after the machines were back: control instances knew their logs but not what of them was committed until a leader was found (clearance 1.2 s, election 1.1 s), so entry instances had no table. Then, with one connection to each backend server, requests were counted as refused three times within 10 ms. Ruled out: announcements (all in within 0.3 s), links (up within 0.2 s).

--- a/cmd/balsamwinch/platform.go
+++ b/cmd/balsamwinch/platform.go
@@ -8,12 +8,13 @@
 	"os/signal"
 	"syscall"
 
-	"go.uber.org/zap"
+	"github.com/VictoriaMetrics/metrics"
 
 	"balsamwinch.example/platform"
 	"balsamwinch.example/result"
 	"balsamwinch.example/tier"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 )
 
 // runPlatform runs one instance of the routed tier as the users' platform starts
@@ -33,10 +34,26 @@
 	if err != nil {
 		return err
 	}
-	lg := newLogger(out, "info").With(zap.String("Instance", se.Name))
+	ts := timer.New()
+	lg, tw := trail.New(out, trail.Config{Instance: se.Name}, ts)
+	defer func() { _ = tw.Close() }() // What its reader doesn't take in time is lost; nobody is left to tell.
+	// A reader of the log that ends must not end the instance: by default, a write
+	// to a closed pipe at standard output ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	changes := make(chan tier.Settings)
-	go tier.Watch(ctx, timer.New(), *file, again, changes, lg)
-	return tier.Run(ctx, se, changes, platform.Dialect{}, lg)
+	go tier.Watch(ctx, ts, *file, again, changes, lg)
+	return tier.Run(ctx, se, changes, platform.Dialect{}, lg, writeLog(tw))
+}
+
+// writeLog writes what became of the lines of the log.
+func writeLog(tw *trail.Writer) tier.MetricsWriter {
+	return func(wr io.Writer) {
+		st := tw.Stats()
+		metrics.WriteCounterUint64(wr, "balsamwinch_log_lines_total", st.Written)
+		metrics.WriteCounterUint64(wr, "balsamwinch_log_lines_left_out_total", st.LeftOut)
+		metrics.WriteCounterUint64(wr, "balsamwinch_log_lines_dropped_total", st.Dropped)
+		metrics.WriteCounterUint64(wr, "balsamwinch_log_writes_failed_total", st.Failed)
+	}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -77,7 +77,8 @@
 	members bool
 	version bool
 	entries map[string]struct{}
-	servers map[string]registry.Change
+	servers []registry.Change // servers holds one change for each id, in the order of the first.
+	places  map[string]int    // places are the places in servers by id.
 }
 
 // NewPublisher returns the publisher of a control instance. It accepts
@@ -96,7 +97,7 @@
 }
 
 func newPending() pending {
-	return pending{entries: make(map[string]struct{}), servers: make(map[string]registry.Change)}
+	return pending{entries: make(map[string]struct{}), places: make(map[string]int)}
 }
 
 // Serve removes backend servers that have fallen silent until the context ends,
@@ -151,14 +152,26 @@
 	pu.change(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone}})
 }
 
-// change makes the next update tell a change. That a server drains is not
-// overtaken by anything that it says later.
+// change makes the next update tell a change.
 func (pu *Publisher) change(now time.Time, ch registry.Change) {
+	pu.pending.add(ch)
+	pu.arm(now)
+}
+
+// add takes in a change. The order of ids stays: which of two ids at one address
+// is the newer one follows from it. That a server drains is not overtaken by
+// anything that it says later.
+func (pe *pending) add(ch registry.Change) {
+	place, ok := pe.places[ch.Server.ID]
+	if !ok {
+		pe.places[ch.Server.ID] = len(pe.servers)
+		pe.servers = append(pe.servers, ch)
+		return
+	}
 	if !ch.Dropped {
-		ch.Server.State = max(ch.Server.State, pu.pending.servers[ch.Server.ID].Server.State)
+		ch.Server.State = max(ch.Server.State, pe.servers[place].Server.State)
 	}
-	pu.pending.servers[ch.Server.ID] = ch
-	pu.arm(now)
+	pe.servers[place] = ch
 }
 
 // SetDocument takes in a configuration that is committed. A version that is not
@@ -382,9 +395,7 @@
 			up.Left = append(up.Left, name)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(pu.pending.servers)) {
-		up.Changes = append(up.Changes, pu.pending.servers[id])
-	}
+	up.Changes = pu.pending.servers
 	return up
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -20,6 +20,10 @@
 	redialMost  = time.Second
 	// steady is how long a link must stand to make the next redial an early one.
 	steady = time.Second
+	// forgetAfter is how long a control instance must be wanted by nobody. When all
+	// of them restart, the first one back may list nobody but itself for a while;
+	// forgetting the others at once would leave their links to the seeds alone.
+	forgetAfter = 10 * time.Second
 )
 
 // source is a control instance as the subscriber knows it, by its address. But
@@ -35,6 +39,8 @@
 	entries map[string]Entry
 	version uint64 // version is the newest configuration that it announced.
 	order   uint64 // order is lower the earlier it announced that version.
+	// unwanted is since when neither seeds nor members name it; zero if they do.
+	unwanted time.Time
 }
 
 // event is what a link tells the goroutine of Serve: a message, or the error for
@@ -46,8 +52,8 @@
 }
 
 // reconcile starts links to the control instances that are wanted, and forgets
-// those that are not wanted and whose link has ended.
-func (su *Subscriber) reconcile(start func(*source)) {
+// those that have not been wanted for long and whose link has ended.
+func (su *Subscriber) reconcile(now time.Time, start func(*source)) {
 	wanted := su.wanted()
 	for address := range wanted {
 		if _, ok := su.sources[address]; !ok {
@@ -57,7 +63,14 @@
 		}
 	}
 	for address, so := range su.sources {
-		if _, ok := wanted[address]; ok || so.up {
+		if _, ok := wanted[address]; ok {
+			so.unwanted = time.Time{}
+			continue
+		}
+		if so.unwanted.IsZero() {
+			so.unwanted = now
+		}
+		if so.up || now.Sub(so.unwanted) < forgetAfter {
 			continue
 		}
 		so.cancel()
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -159,7 +159,7 @@
 		wg.Go(func() { su.keep(kept, so) })
 	}
 	su.seeds, su.seededAt = su.cf.Seeds(), su.ts.Now()
-	su.reconcile(start)
+	su.reconcile(su.seededAt, start)
 	for {
 		select {
 		case <-ctx.Done():
@@ -172,8 +172,8 @@
 		case <-tick.C:
 			su.tick(su.ts.Now())
 		}
-		su.reconcile(start)
 		now := su.ts.Now()
+		su.reconcile(now, start)
 		su.seek(now)
 		su.notice(now)
 	}
@@ -194,9 +194,9 @@
 
 func (su *Subscriber) takeGone() {
 	su.mu.Lock()
-	gone := su.gone
-	if len(gone) > 0 {
-		su.gone = make(map[string]struct{})
+	var gone map[string]struct{}
+	if len(su.gone) > 0 {
+		gone, su.gone = su.gone, make(map[string]struct{})
 	}
 	su.mu.Unlock()
 	for id := range gone {
@@ -221,8 +221,8 @@
 			su.tellServers(now)
 		}
 	}
-	if !su.dirty {
-		return
+	if !su.dirty || su.Connected() == 0 {
+		return // If all control instances are lost, their last word is the best there is.
 	}
 	su.dirty = false
 	if live := su.liveEntries(); !slices.Equal(live, su.entries) {
@@ -254,12 +254,11 @@
 }
 
 // liveEntries returns the entry instances that any connected control instance
-// shows. A control instance that was lost tells nothing of entry instances that
-// ended since; but if all are lost, their last word is the best there is.
+// shows. One that was lost tells nothing of those that ended since.
 func (su *Subscriber) liveEntries() []Entry {
 	live := make(map[string]Entry)
 	for _, so := range su.sources {
-		if !so.up && su.Connected() > 0 {
+		if !so.up {
 			continue
 		}
 		for name, en := range so.entries {
--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	re, err := greeting(co)
-	if err != nil || re.Name == nd.cf.Name {
+	if err != nil || re.Name == nd.cf.Name || re.Name == "" {
 		return false
 	}
 	nd.serve(&line{co: co, name: re.Name, start: re.Start, outgoing: true}, re)
@@ -86,7 +86,7 @@
 	defer co.Close()
 	jo, ok := first.(Join)
 	switch {
-	case !ok:
+	case !ok || jo.Report.Name == "":
 	case jo.Report.Name == nd.cf.Name:
 		// The dialler has dialled itself, or two instances have one name. It learns
 		// that from the answer and closes the link.
--- a/fleet/disk.go
+++ b/fleet/disk.go
@@ -66,6 +66,7 @@
 	if err := th.mark(); err != nil {
 		return err
 	}
+	th.readNote()
 	first, err := th.marked()
 	if err != nil {
 		return err
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,8 +103,12 @@
 	report atomic.Pointer[Report]   // report is what others are told of this instance.
 	// sequence numbers the reports.
 	sequence atomic.Uint64
-	status   atomic.Pointer[Status]
-	random   struct {
+	// busy is since when the node's goroutine has been at work, in nanoseconds after
+	// born, or 0 if it waits.
+	busy   atomic.Int64
+	born   time.Time
+	status atomic.Pointer[Status]
+	random struct {
 		sync.Mutex
 		*rand.Rand
 	}
@@ -129,6 +133,7 @@
 		li:     newLines(cf.Name),
 		events: make(chan event, eventRoom),
 		nudge:  make(chan struct{}, 1),
+		born:   ts.Now(),
 	}
 	nd.random.Rand = rand.New(rand.NewPCG(nd.start, uint64(ts.Now().UnixNano())))
 	nd.newest.Store(&document{})
@@ -187,13 +192,12 @@
 // is a *result.Error with the code ControlUnavailable.
 func (nd *Node) Read(ctx context.Context) (version uint64, data []byte, err error) {
 	held := nd.newest.Load()
-	ms, err := nd.ask(ctx, opRead, func(request uint64) peer.Message {
+	an, err := nd.ask(ctx, opRead, func(request uint64) peer.Message {
 		return Reading{Request: request, Held: held.Version}
 	})
 	if err != nil {
 		return 0, nil, err
 	}
-	an := ms.(Answer)
 	do := &document{Version: an.Version, Data: an.Data}
 	if an.Same {
 		do = held
--- a/fleet/lead.go
+++ b/fleet/lead.go
@@ -108,6 +108,11 @@
 	if vo.st.Commit() == vo.st.Last() {
 		th.leading.flight = 0
 	}
+	if do := vo.sm.Document; do.Version > th.leading.told {
+		// The others learn of the commit now and not with the next heartbeat.
+		th.leading.told = do.Version
+		th.step(quorum.Probe{Now: th.now()})
+	}
 	now := th.now()
 	th.proposals = slices.DeleteFunc(th.proposals, func(pr proposing) bool {
 		if pr.version > vo.sm.Document.Version {
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -57,6 +57,7 @@
 	members []Member // members are those that the observer was told.
 	pushed  map[string]push
 	voters  quorum.VoterSet // voters are those that were logged last.
+	noted   uint64          // noted is the version of the document in the note.
 
 	leading   leadership
 	proposals []proposing
@@ -126,25 +127,34 @@
 		if err := th.await(); err != nil {
 			return err
 		}
-		th.drain()
 	}
 }
 
 // await handles the next thing that happens.
 func (th *thread) await() error {
+	th.nd.busy.Store(0)
 	select {
 	case <-th.ctx.Done():
 		return th.ctx.Err()
 	case ev := <-th.nd.events:
+		th.work()
 		th.handle(ev)
 	case <-th.nd.nudge:
+		th.work()
 	case <-th.wake:
+		th.work()
 		th.alarmAt = time.Time{}
 		th.tick()
 	}
+	th.drain()
 	return nil
 }
 
+// work notes since when the goroutine has not waited for something to do.
+func (th *thread) work() {
+	th.nd.busy.Store(max(1, int64(th.nd.ts.Now().Sub(th.nd.born))))
+}
+
 // drainEvents is how many waiting events are handled before the rest is seen to.
 const drainEvents = 64
 
@@ -395,13 +405,7 @@
 	if vo := th.vo; vo != nil && vo.formed && vo.st.Leader() != "" {
 		return nameOf(vo.st.Leader())
 	}
-	name, term := "", uint64(0)
-	for _, pa := range th.nd.li.known() {
-		if pa.report.Leading && pa.report.Term > term {
-			name, term = pa.report.Name, pa.report.Term
-		}
-	}
-	return name
+	return leading(th.nd.li.known())
 }
 
 func (th *thread) status() *Status {
@@ -434,6 +438,10 @@
 	if do.Version <= th.nd.newest.Load().Version {
 		return
 	}
+	if do.Version > th.noted {
+		th.noted = do.Version
+		th.note(do)
+	}
 	th.nd.newest.Store(do)
 	th.nd.lg.Info("document-learned", zap.Uint64("Version", do.Version), zap.Int("Bytes", len(do.Data)))
 	th.nd.ob.DocumentCommitted(do.Version, do.Data)
--- a/fleet/voter.go
+++ b/fleet/voter.go
@@ -40,6 +40,7 @@
 	since    time.Time
 	heard    map[quorum.ID]time.Time // heard is when something came from a member.
 	proposed uint64                  // proposed is the highest version that was appended.
+	told     uint64                  // told is the version whose commit the voters were told at once.
 	flight   int                     // flight is how many bytes are appended and not committed.
 	named    map[string]time.Time    // named is when an address was proposed.
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -136,6 +136,7 @@
 // left notes that the caller is gone. Nothing can be said to it any more.
 func (ca *call) left() {
 	ca.status, ca.detail = statusLeft, "caller left"
+	ca.over()
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 	"balsamwinch.example/scatter"
@@ -54,6 +52,8 @@
 	sent   int
 	hedged int
 	again  int
+	denied int
+	cr     *carrier // cr carried the request out; nil if nobody was asked.
 }
 
 // serve answers a request under the table that was in force when it came.
@@ -144,6 +144,9 @@
 		pl.Hold = aim.Add(-ca.sv.cf.HoldMargin)
 		pl.Offer = ca.start.Add(ca.ro.Aim / offerPart)
 	}
+	if shards > 1 {
+		pl.Offer = pl.Hold // Other shards are at work by then, so refusing early saves nothing.
+	}
 	return pl
 }
 
@@ -185,10 +188,6 @@
 	hd.Set("Content-Length", strconv.Itoa(len(body)))
 	ca.wr.WriteHeader(status)
 	_, _ = io.WriteString(ca.wr, body)
-	ca.sv.lg.Info("request-failed", zap.String("RequestID", ca.id), zap.Int("Status", status), zap.Int("Code", int(code)),
-		zap.String("Detail", detail), zap.String("Route", ca.routeName()), zap.Uint64("Version", ca.version()),
-		zap.Int("Sent", ca.sent), zap.Int("Hedged", ca.hedged), zap.Int("Retried", ca.again), zap.Int("Missing", ca.missed),
-		zap.Int64("Millis", ca.sv.ts.Now().Sub(ca.start).Milliseconds()))
 }
 
 func (ca *call) routeName() string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,7 @@
 	closing atomic.Bool
 	active  atomic.Int64
 	mt      meters
+	newsAt  atomic.Int64 // newsAt is when the backend servers last changed, since started.
 
 	mu      sync.Mutex // mu guards what the shares are made from.
 	servers map[string][]registry.Server
@@ -81,6 +82,8 @@
 	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker()}
 	sv.shares.Store(&map[string]int{})
 	sv.started = ts.Now()
+	sv.mt.begin(sv)
+	ts.Timeout(newFor, sv.share)
 	ts.Timeout(youngFor, sv.share)
 	return sv
 }
@@ -96,6 +99,7 @@
 
 // SetServers takes over which backend servers exist.
 func (sv *Server) SetServers(ses map[string][]registry.Server) {
+	sv.told()
 	sv.re.Update(sv.ts.Now(), ses)
 	sv.mu.Lock()
 	sv.servers = ses
@@ -108,6 +112,7 @@
 	now := sv.ts.Now()
 	sv.bu.SetEntries(now, count)
 	sv.mu.Lock()
+	sv.entriesKnown(sv.entries.now, count)
 	sv.entries = sv.entries.with(now, count)
 	sv.mu.Unlock()
 	sv.share()
@@ -142,7 +147,7 @@
 		ca.tb = tb
 		ca.serve()
 	}
-	sv.mt.request(ca, sv.ts.Now().Sub(start))
+	ca.over()
 }
 
 // WaitIdle waits until no request is under way or the context ends.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"balsamwinch.example/replica"
@@ -21,14 +22,16 @@
 
 // ended is an attempt that is over.
 type ended struct {
-	shard int
-	rs    upstream.Result
+	shard  int
+	number int
+	rs     upstream.Result
 }
 
 // attempt is one arrival at a backend server.
 type attempt struct {
-	shard int
-	pk    replica.Pick
+	shard  int
+	number int // number is that of its note.
+	pk     replica.Pick
 }
 
 // carrier carries out one query.
@@ -41,6 +44,7 @@
 	tried    [][]string        // tried holds the backend servers asked for each shard.
 	picks    []replica.Pick    // picks holds the newest attempt of each shard.
 	arrived  []bool            // arrived says that a request for the shard counts as arrived.
+	notes    []note            // notes tell of every attempt.
 	ends     chan ended
 }
 
@@ -59,6 +63,7 @@
 		ends:     make(chan ended, 2*len(services)),
 	}
 	cr.rq.Deadline = pl.Deadline
+	ca.cr = cr
 	for _, se := range services {
 		ca.sv.bu.Arrival(ca.start, se)
 	}
@@ -104,6 +109,7 @@
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
 	if cr.costs(wa) && !sv.bu.Spend(now, service, keep(wa.Kind)) {
+		cr.denied(service)
 		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
 		return
 	}
@@ -127,7 +133,7 @@
 		hedgeAt = now.Add(sv.re.HedgeAfter(now, as, pk))
 	}
 	cr.qu.Asked(wa.Shard, hedgeAt)
-	go cr.exchange(ctx, attempt{shard: wa.Shard, pk: pk})
+	go cr.exchange(ctx, attempt{shard: wa.Shard, number: cr.began(now, wa, pk.Server.ID), pk: pk})
 }
 
 // costs reports whether an attempt is an arrival beyond the first. A retry is
@@ -150,8 +156,9 @@
 	se := at.pk.Server
 	rs := sv.up.Do(ctx, sv.target(se.Service, se.ID, se.Address), cr.rq)
 	sv.re.Done(sv.ts.Now(), at.pk, report(ctx, rs))
+	sv.mt.ended(ctx, cr.services[at.shard], rs)
 	select {
-	case cr.ends <- ended{at.shard, rs}:
+	case cr.ends <- ended{at.shard, at.number, rs}:
 	case <-ctx.Done():
 	}
 }
@@ -193,15 +200,25 @@
 
 // ended gives the end of an attempt to the query.
 func (cr *carrier) ended(en ended) {
+	cr.over(cr.ca.sv.ts.Now(), en.number, en.rs)
 	if en.rs.Outcome != upstream.NotSent && en.rs.Outcome != upstream.NoConnection {
 		cr.arrived[en.shard] = true
 	}
+	if en.rs.Outcome == upstream.NoConnection {
+		cr.retract(en)
+	}
 	if en.rs.Reply != nil && !cr.qu.Has(en.shard) && en.rs.Outcome == upstream.Answered {
 		cr.replies[en.shard] = en.rs.Reply
 	}
 	cr.qu.Replied(cr.ca.sv.ts.Now(), en.shard, cr.ca.reply(en.rs))
 }
 
+// retract lets a backend server be chosen again that was not asked after all.
+func (cr *carrier) retract(en ended) {
+	id := cr.notes[en.number].server
+	cr.tried[en.shard] = slices.DeleteFunc(cr.tried[en.shard], func(other string) bool { return other == id })
+}
+
 // reply says what an exchange means for the query. Only a success is a part of a
 // merged answer; an answer of any kind but a server's own fault is one for a
 // request to a single backend server, and is passed on as it came.
@@ -209,7 +226,9 @@
 	switch rs.Outcome {
 	case upstream.Answered:
 		return ca.answered(rs.Reply.Status)
-	case upstream.NotRun, upstream.NotSent, upstream.NoConnection:
+	case upstream.NoConnection:
+		return scatter.ReplyBusy
+	case upstream.NotRun, upstream.NotSent:
 		return scatter.ReplyNotRun
 	default:
 		return scatter.ReplyLost
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -14,12 +14,15 @@
 	// connectionShare is the part of a backend server's connections that all entry
 	// instances together may open.
 	connectionShare = 0.7
-	// youngFor is how long a process that has just started opens one connection to
-	// each backend server at most. If its predecessor lost power, so did perhaps
-	// all others, and the backend servers still count connections whose other ends
-	// are gone: until they notice, what is opened beyond their limit is reset, with
-	// the request on it.
-	youngFor = 6 * time.Second
+	// youngShare is that part for an instance that has just started, until youngFor
+	// has passed. If its predecessor lost power, so did perhaps all others, and the
+	// backend servers still count connections whose other ends are gone: until they
+	// notice, what is opened beyond their limit is reset, with the request on it.
+	youngShare = 0.45
+	youngFor   = 6 * time.Second
+	// newFor is how long an instance opens one connection to each backend server
+	// at most: it does not know yet how many others there are.
+	newFor = time.Second
 )
 
 // entryCount is the highest number of entry instances seen lately.
@@ -44,14 +47,14 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	entries := max(1, sv.entries.top)
-	young := sv.ts.Now().Sub(sv.started) < youngFor
+	part := sv.connectionPart()
 	shares := make(map[string]int)
 	targets := make(map[string]upstream.Target)
 	for name, ses := range sv.servers {
 		most := 1
 		if tb != nil {
-			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 && !young {
-				most = max(1, int(connectionShare*float64(se.MaxConnections)/float64(entries)))
+			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 {
+				most = max(1, int(part*float64(se.MaxConnections)/float64(entries)))
 			}
 		}
 		shares[name] = most
@@ -63,6 +66,19 @@
 	sv.up.Retain(targets)
 }
 
+// connectionPart returns the part of a backend server's connections that is
+// divided at this age of the process.
+func (sv *Server) connectionPart() float64 {
+	switch age := sv.ts.Now().Sub(sv.started); {
+	case age < newFor:
+		return 0
+	case age < youngFor:
+		return youngShare
+	default:
+		return connectionShare
+	}
+}
+
 // target returns how a backend server of a service is reached.
 func (sv *Server) target(service, id, address string) upstream.Target {
 	return upstream.Target{ID: id, Address: address, Connections: max(1, (*sv.shares.Load())[service])}
--- a/link/link.go
+++ b/link/link.go
@@ -71,9 +71,9 @@
 
 	mu      sync.Mutex
 	queue   net.Buffers
-	queued  int  // queued counts the bytes in queue and those being written.
-	writing bool // writing says that a goroutine takes what is in queue.
-	sent    time.Time
+	queued  int       // queued counts the bytes in queue and those being written.
+	writing bool      // writing says that a goroutine takes what is in queue.
+	sent    time.Time // sent is when a write began or ended last.
 	beat    *timer.Timeout
 	err     error
 	done    chan struct{}
@@ -168,15 +168,19 @@
 		co.mu.Unlock()
 		return
 	}
-	if idle := co.cf.TS.Now().Sub(co.sent); co.writing || idle < co.cf.Ping {
-		co.beat.Reset(max(co.cf.Ping-idle, co.cf.Ping/2))
+	if idle := co.cf.TS.Now().Sub(co.sent); !co.writing && idle < co.cf.Ping {
+		co.beat.Reset(co.cf.Ping - idle)
+		co.mu.Unlock()
+		return
+	}
+	co.beat.Reset(co.cf.Ping)
+	if co.writing {
 		co.mu.Unlock()
 		return
 	}
 	co.queue = append(co.queue, pingFrame)
 	co.queued += len(pingFrame)
 	co.writing = true
-	co.beat.Reset(co.cf.Ping)
 	co.mu.Unlock()
 	co.write()
 }
@@ -188,6 +192,7 @@
 	for {
 		co.mu.Lock()
 		co.queued -= written
+		co.sent = co.cf.TS.Now()
 		queue := co.queue
 		co.queue = nil
 		if len(queue) == 0 || co.err != nil {
@@ -195,7 +200,6 @@
 			co.mu.Unlock()
 			return
 		}
-		co.sent = co.cf.TS.Now()
 		co.mu.Unlock()
 		written = 0
 		for _, frame := range queue {
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -92,11 +92,9 @@
 }
 
 // compacted returns the log behind a snapshot up to an index that it holds.
+// The entries behind it are copied, since a chunk that is shared would hold the
+// data of those before.
 func (lo entryLog) compacted(index uint64) entryLog {
-	lo.snapshotTerm, _ = lo.term(index)
-	lo.snapshotIndex = index
-	drop := min(int(index-lo.base)/chunkSize, len(lo.chunks))
-	lo.chunks = lo.chunks[drop:]
-	lo.base += uint64(drop * chunkSize)
-	return lo
+	te, _ := lo.term(index)
+	return newLog(index, te, lo.slice(index, lo.last()))
 }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -57,6 +57,50 @@
 	}
 }
 
+// A leader is cut off and another one commits. When the cut one is asked for the
+// newest entry, it must not answer from what it held before; and the one that
+// does lead answers after one exchange, without waiting for its next heartbeat.
+func TestProbe(t *testing.T) {
+	c := qt.New(t)
+	wo := lead("a", "b", "c")
+	wo.isolate("a")
+	wo.elect("b")
+	wo.deliverAll()
+	wo.propose("b", 1)
+	wo.deliverAll()
+	wo.probe(wo.find("a"))
+	wo.deliverAll()
+	c.Assert(wo.answered, qt.Equals, 0)
+	wo.probe(wo.find("b"))
+	c.Assert(wo.answered, qt.Equals, 0)
+	wo.deliverAll()
+	c.Assert(wo.answered, qt.Equals, 1)
+	c.Assert(wo.state("c").Contact().IsZero(), qt.IsTrue)
+	c.Assert(wo.fault, qt.Equals, "")
+}
+
+// The only voter is its own majority.
+func TestProbeOfSingleVoter(t *testing.T) {
+	wo := lead("a")
+	wo.probe(0)
+	qt.Assert(t, wo.answered, qt.Equals, 1)
+}
+
+// Documents may be large. An entry that a snapshot replaces must not be held in
+// memory until its chunk is full.
+func TestCompactedEntriesAreFreed(t *testing.T) {
+	c := qt.New(t)
+	for _, count := range []uint64{1, chunkSize - 1, chunkSize, 3*chunkSize + 5} {
+		wo := lead("a", "b", "c")
+		wo.propose("a", count)
+		wo.deliverAll()
+		st, _ := Step(wo.state("a"), Compacted{wo.state("a").Commit()})
+		c.Assert(st.log.chunks, qt.HasLen, 0)
+		c.Assert(st.log.tail, qt.HasLen, 0)
+		c.Assert(st.Last(), qt.Equals, wo.state("a").Last())
+	}
+}
+
 // BenchmarkPropose measures the five steps of one proposal of 100 bytes at 3
 // voters: of the leader, of each follower, and of the leader for each reply.
 func BenchmarkPropose(b *testing.B) {
--- a/quorum/random_test.go
+++ b/quorum/random_test.go
@@ -180,6 +180,15 @@
 	if len(wo.committed) <= before && !wo.aged && wo.majorityLeft() {
 		rt.Fatal("no commit after all is healed")
 	}
+	answered := wo.answered
+	if po := wo.find(wo.leader()); po >= 0 {
+		wo.probe(po)
+		wo.deliverAll()
+	}
+	wo.verify(rt)
+	if wo.answered == answered && !wo.aged && wo.majorityLeft() {
+		rt.Fatal("no read is answered after all is healed")
+	}
 }
 
 func TestRandom(t *testing.T) {
@@ -211,6 +220,7 @@
 			{1, func(rt *rapid.T) { wo.cut[[2]ID{wo.id(rt), wo.id(rt)}] = true }},
 			{8, func(*rapid.T) { clear(wo.cut) }},
 			{3, func(rt *rapid.T) { wo.compact(wo.node(rt)) }},
+			{4, func(rt *rapid.T) { wo.probe(wo.node(rt)) }},
 			{1, wo.resignLeader},
 			{3, func(rt *rapid.T) { wo.copyDisk(wo.node(rt)) }},
 			{3, wo.oldDisk},
--- a/quorum/world_test.go
+++ b/quorum/world_test.go
@@ -50,9 +50,18 @@
 	aged      bool        // aged says that an older disk was put back.
 	single    bool        // single says that some voter set had one voter only.
 	lost      int         // lost counts the disks that were lost.
+	reads     []readNote  // reads are those that no leader has answered yet.
+	answered  int         // answered counts the reads that were answered.
 	fault     string
 }
 
+// readNote is a read that came to a node when so many entries were committed.
+type readNote struct {
+	id        ID
+	since     time.Time
+	committed int
+}
+
 // newWorld starts a voter for each ID; they clear each other at once.
 func newWorld(ids ...ID) *world {
 	wo := &world{now: time.Unix(1_000_000, 0), cut: make(map[[2]ID]bool), copies: make(map[ID]disk)}
@@ -227,6 +236,7 @@
 		wo.fail("%s is refused though its disk lost nothing: %s", st.cf.Self, st.refusal)
 	}
 	wo.single = wo.single || len(st.Voters().Voters) == 1
+	wo.checkReads(st)
 	if st.Role() != Leader {
 		return
 	}
@@ -256,6 +266,28 @@
 	}
 }
 
+// probe notes a read at a node and asks the others whether it still leads.
+func (wo *world) probe(po int) {
+	wo.now = wo.now.Add(1)
+	wo.reads = append(wo.reads, readNote{id: wo.nodes[po].id, since: wo.now, committed: len(wo.committed)})
+	wo.now = wo.now.Add(1)
+	wo.step(po, Probe{wo.now}, -1)
+}
+
+// checkReads answers the reads that a leader is sure of.
+func (wo *world) checkReads(st State) {
+	wo.reads = slices.DeleteFunc(slices.Clone(wo.reads), func(rn readNote) bool {
+		if rn.id != st.cf.Self || !st.TermOpen() || !st.Contact().After(rn.since) {
+			return false
+		}
+		if st.Commit() < uint64(rn.committed) {
+			wo.fail("%s answers a read with entry %d when %d was committed before", rn.id, st.Commit(), rn.committed)
+		}
+		wo.answered++
+		return true
+	})
+}
+
 // take removes a message.
 func (wo *world) take(me int) envelope {
 	en := wo.net[me]
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -48,6 +48,7 @@
 	ReplyNotRun              // ReplyNotRun: refused by the server's own word, or no byte was sent.
 	ReplyFailed              // ReplyFailed: the server answered with a failure of its own.
 	ReplyLost                // ReplyLost: bytes were sent and no good answer came.
+	ReplyBusy                // ReplyBusy: this instance had no connection free, so nobody was asked.
 )
 
 // End says that a query is over.
@@ -198,6 +199,8 @@
 			qu.lost--
 		}
 		qu.have++
+	case ReplyBusy:
+		qu.busy(now, sh)
 	case ReplyNotRun:
 		sh.refused++
 		qu.ended(now, sh, CauseNotRun)
@@ -229,6 +232,24 @@
 	}
 }
 
+// busy has a shard asked again soon. Having no connection free is this
+// instance's own lack and no refusal of a backend server: counted as one, a burst
+// of requests right after a start, while connections are few, would fail within
+// milliseconds although the servers have room.
+func (qu *Query) busy(now time.Time, sh *shard) {
+	if sh.cause < CauseBusy {
+		sh.cause = CauseBusy
+	}
+	if sh.flying > 0 {
+		return
+	}
+	if !now.Before(qu.pl.Offer) && sh.ran == 0 && sh.refused == 0 {
+		qu.lose(sh)
+		return
+	}
+	sh.next = now.Add(qu.pl.Pause)
+}
+
 func (qu *Query) lose(sh *shard) {
 	if !sh.lost {
 		sh.lost = true
--- a/scatter/scatter_test.go
+++ b/scatter/scatter_test.go
@@ -164,3 +164,27 @@
 	qu.Replied(at(40), 0, ReplyPart)
 	qt.Assert(t, qu.End(), qt.Equals, Answered)
 }
+
+// An instance has just started and opens few connections, and all of them are in
+// use when a request comes. Its backend servers are idle; the request must wait
+// for a connection instead of being counted as refused by three of them.
+func TestBusy(t *testing.T) {
+	qu := begun(t, plan(1, 1))
+	now := 0
+	for now+5 < 20 {
+		qu.Replied(at(now), 0, ReplyBusy)
+		qt.Assert(t, qu.End(), qt.Equals, Running)
+		qt.Assert(t, qu.Next(at(now), nil), qt.HasLen, 0)
+		now += 5
+		qt.Assert(t, qu.Next(at(now), nil), qt.DeepEquals, []Want{{0, First}})
+		qu.Asked(0, at(now+30))
+	}
+	qu.Replied(at(now), 0, ReplyPart)
+	qt.Assert(t, qu.End(), qt.Equals, Answered)
+
+	qu = begun(t, plan(1, 1))
+	qu.Replied(at(20), 0, ReplyBusy)
+	qt.Assert(t, qu.End(), qt.Equals, Failed, qt.Commentf("told at once when no connection comes free"))
+	qt.Assert(t, qu.Ran(), qt.IsFalse)
+	qt.Assert(t, qu.Cause(0), qt.Equals, CauseBusy)
+}
--- a/tier/control.go
+++ b/tier/control.go
@@ -37,7 +37,7 @@
 	ts *timer.Service
 }
 
-func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger) error {
+func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	co := &control{sh: sh, lg: lg, ts: ts}
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
 	co.nd = fleet.New(fleet.Config{
@@ -49,12 +49,14 @@
 		return err
 	}
 	sp := supervise("control", lg)
-	if err := serveHTTP(sp, "operators", se.Listen.Control, di.ControlHandler(co)); err != nil {
+	cu := newCounted(co)
+	if err := serveHTTP(sp, "operators", se.Listen.Control, di.ControlHandler(cu)); err != nil {
 		return err
 	}
-	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(co)); err != nil {
+	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(cu)); err != nil {
 		return err
 	}
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroup(co.nd, co.pu), cu.set.WritePrometheus)...)
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -49,7 +49,7 @@
 	stop atomic.Bool
 }
 
-func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger) error {
+func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	debug.SetGCPercent(garbagePercent)
 	now := ts.Now()
 	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
@@ -72,6 +72,7 @@
 	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
 		return err
 	}
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/tier/run.go
+++ b/tier/run.go
@@ -33,8 +33,9 @@
 const memoryShare = 0.6
 
 // Run runs one instance until the context ends and the graceful stop is over.
-// changes gives settings that were read again.
-func Run(ctx context.Context, se Settings, changes <-chan Settings, di Dialect, lg *zap.Logger) error {
+// changes gives settings that were read again. What mws write is shown with the
+// instance's own metrics.
+func Run(ctx context.Context, se Settings, changes <-chan Settings, di Dialect, lg *zap.Logger, mws ...MetricsWriter) error {
 	debug.SetMemoryLimit(int64(float64(se.Limits.MemoryMegabytes<<20) * memoryShare))
 	ts := timer.New()
 	sh := newShared(se)
@@ -43,10 +44,11 @@
 		zap.Bool("Entry", se.Entry()), zap.Bool("Control", se.Control()), zap.Int("ProcessID", os.Getpid()), zap.Bool("FirstStart", se.FirstStart))
 	defer lg.Info("instance-stopped", zap.String("Name", se.Name))
 	lc := linkConfig(ts)
+	mws = append(mws, writeProcess(ts.Now(), ts.Now))
 	if se.Control() {
-		return runControl(ctx, se, sh, di, lc, ts, lg)
+		return runControl(ctx, se, sh, di, lc, ts, lg, mws)
 	}
-	return runEntry(ctx, se, sh, di, lc, ts, lg)
+	return runEntry(ctx, se, sh, di, lc, ts, lg, mws)
 }
 
 func linkConfig(ts *timer.Service) link.Config {
@@ -59,9 +61,13 @@
 	}
 }
 
+// openListener opens a listener. Tests give out listeners that they hold already,
+// since a port that was free a moment ago may be taken.
+var openListener = net.Listen
+
 // listen opens a TCP address. The error is a *result.Error.
 func listen(address string) (net.Listener, error) {
-	li, err := net.Listen("tcp4", address)
+	li, err := openListener("tcp4", address)
 	if err != nil {
 		return nil, &result.Error{Code: result.BadSettings, Op: "listen", Detail: address, Err: err}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -15,6 +15,8 @@
 	readBytes = 4 << 10
 	// outBytes is how much of a request goes out in one buffer.
 	outBytes = 16 << 10
+	// nowBytes is how much of the rest of a body is written before reading begins.
+	nowBytes = 64 << 10
 	// headBytes bounds the head of a reply and the interim replies before it.
 	headBytes = 256 << 10
 	// writeGrace is how long the end of a written body is awaited after the reply.
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -111,11 +111,13 @@
 	return false
 }
 
-// stripHop takes the headers that concern one connection out of a reply's.
+// stripHop takes the headers that concern one connection out of a reply's. So it
+// does with names that end with a space: the reply reader lets them through and
+// doesn't heed them, and the next one might, as another length of the body.
 func stripHop(he http.Header) {
 	named := he["Connection"]
 	for ke := range he {
-		if isHop(ke) || (named != nil && isNamed(ke, named)) {
+		if isHop(ke) || strings.IndexByte(ke, ' ') >= 0 || (named != nil && isNamed(ke, named)) {
 			delete(he, ke)
 		}
 	}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -101,6 +101,7 @@
 	he := http.Header{
 		"Connection": {"Keep-Alive, x-a"}, "X-A": {"1"}, "X-B": {"1"}, "Keep-Alive": {"timeout=1"}, "Proxy-Authenticate": {"p"},
 		"Te": {"t"}, "Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"u"}, "Content-Type": {"c"},
+		"Content-Length ": {"1"}, "transfer-encoding ": {"chunked"},
 	}
 	stripHop(he)
 	qt.Assert(t, he, qt.DeepEquals, http.Header{"X-B": {"1"}, "Content-Type": {"c"}})
--- a/upstream/io.go
+++ b/upstream/io.go
@@ -107,8 +107,9 @@
 	}
 }
 
-// write writes as much of the request as the system takes without a wait, and
-// starts a goroutine for the rest.
+// write writes as much of the request as the system takes without a wait, within
+// a bound, and starts a goroutine for the rest. Without the bound, a server that
+// reads as fast as this writes would keep the end of the context from being seen.
 func (ex *exchange) write(fd int) error {
 	head, err := ex.writeSome(fd, ex.out)
 	if err != nil {
@@ -116,9 +117,12 @@
 	}
 	rest := ex.rest
 	if len(head) == 0 {
-		if rest, err = ex.writeSome(fd, ex.rest); err != nil {
+		now := min(len(rest), nowBytes)
+		left, err := ex.writeSome(fd, rest[:now])
+		if err != nil {
 			return err
 		}
+		rest = rest[now-len(left):]
 	}
 	if len(head)+len(rest) > 0 {
 		ex.startWriter(head, rest)
--- a/upstream/reply_test.go
+++ b/upstream/reply_test.go
@@ -267,4 +267,3 @@
 		}
 	})
 }
-
