replica: servers of the own data centre first

Ruled out: callers' bytes (not counted: a trial with near entry instances only changed nothing), links between instances. Change: a server of the own data centre may be expected to take three times as long and is chosen all the same.

--- a/replica/choose.go
+++ b/replica/choose.go
@@ -9,6 +9,11 @@
 	// nearTie is how much longer than the best a server may be expected to take
 	// to count as good as it.
 	nearTie = 1.1
+	// ownFactor is how much longer than the best a server of the own data centre
+	// may be expected to take, beyond nearTie, and be chosen all the same. Bytes
+	// between data centres are dear, and what a server is slower by is mostly less
+	// than a hedge makes good (docs/design/near-servers.md).
+	ownFactor = 3.0
 	// probeShare is the share of requests that probe a server believed slow.
 	probeShare = 0.02
 	// returnShare is that share after such a server has answered quickly.
@@ -102,6 +107,7 @@
 			continue
 		}
 		time, sd := se.expected(at, typical)
+		time *= se.stale(at, len(as.Avoid) > 0)
 		sd = min(sd, shunned)
 		if best == nil || sd < class || sd == class && time < least {
 			best, least, class = se, time, sd
@@ -123,10 +129,14 @@
 			continue
 		}
 		time, sd := se.expected(at, typical)
+		time *= se.stale(at, len(as.Avoid) > 0)
+		own := tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
+		if own {
+			time /= ownFactor
+		}
 		if min(sd, shunned) != class || time > most {
 			continue
 		}
-		own := tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
 		switch {
 		case own && !near:
 			chosen, count, near = se, 1, true
--- a/replica/server.go
+++ b/replica/server.go
@@ -257,3 +257,17 @@
 	}
 	return sound
 }
+
+const (
+	staleSpan  = 300 * time.Millisecond
+	staleFirst = 0.0001
+	staleHedge = 0.5
+)
+
+func (se *server) stale(at time.Duration, hedge bool) float64 {
+	cost := staleFirst
+	if hedge {
+		cost = staleHedge
+	}
+	return 1 + cost*min(1, float64(at-se.answered)/float64(staleSpan))
+}
