--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,6 +14,7 @@
 const (
 	noServerPause = 20 * time.Millisecond
 	budgetPause   = 25 * time.Millisecond
+	busyPause     = 4 * time.Millisecond
 )
 
 // keepForRetries is the part of the retry budget that hedges leave for retries:
@@ -116,7 +117,8 @@
 	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable()}
 	pk, ok := sv.re.Choose(now, as)
 	if !ok {
-		cr.qu.Denied(now, wa.Shard, scatter.CauseNoServer, now.Add(noServerPause))
+		ca, pause := cr.nobody(service)
+		cr.qu.Denied(now, wa.Shard, ca, now.Add(pause))
 		return
 	}
 	switch wa.Kind {
@@ -136,6 +138,14 @@
 	go cr.exchange(ctx, attempt{shard: wa.Shard, number: cr.began(now, wa, pk.Server.ID), pk: pk})
 }
 
+// nobody says why no backend server of a service could be chosen.
+func (cr *carrier) nobody(service string) (scatter.Cause, time.Duration) {
+	if cr.ca.sv.re.Ready(service) > 0 {
+		return scatter.CauseBusy, busyPause
+	}
+	return scatter.CauseNoServer, noServerPause
+}
+
 // costs reports whether an attempt is an arrival beyond the first. A retry is
 // none if no earlier attempt has reached a backend server; a hedge always is,
 // since the attempt beside it has been sent by then.
@@ -183,6 +193,10 @@
 		}
 	case upstream.NotSent:
 		re.Kind = replica.Unreachable
+	case upstream.NoConnection:
+		// Connections that wait for a reply nobody wants, or to be opened, are in the
+		// way: the server stands still or is gone.
+		re.Kind = replica.Shed
 	case upstream.Lost, upstream.Wrong:
 		re.Kind = replica.Failed
 	case upstream.TimedOut:
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -13,7 +13,7 @@
 const (
 	// connectionShare is the part of a backend server's connections that all entry
 	// instances together may open.
-	connectionShare = 0.7
+	connectionShare = 0.8
 	// youngShare is that part for an instance that has just started, until youngFor
 	// has passed. If its predecessor lost power, so did perhaps all others, and the
 	// backend servers still count connections whose other ends are gone: until they
@@ -63,6 +63,7 @@
 		}
 	}
 	sv.shares.Store(&shares)
+	sv.re.Limit(shares)
 	sv.up.Retain(targets)
 }
 
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -14,6 +14,9 @@
 	// between data centres are dear, and what a server is slower by is mostly less
 	// than a hedge makes good (docs/design/near-servers.md).
 	ownFactor = 3.0
+	// fewFailures is the share of failures up to which a server is preferred for
+	// being near.
+	fewFailures = 0.1
 	// probeShare is the share of requests that probe a server believed slow.
 	probeShare = 0.02
 	// returnShare is that share after such a server has answered quickly.
@@ -27,7 +30,8 @@
 // among near equals, and counts a request to it as in flight. Suspect servers
 // come after all others, those set aside last; a server that was set aside or
 // is believed slow gets a single request now and then that shows how it does.
-// Choose returns false only when no ready server is left that isn't avoided.
+// Choose returns false only when no ready server is left that isn't avoided and
+// has fewer requests in flight than the limit.
 func (tb *Table) Choose(now time.Time, as Ask) (Pick, bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -47,7 +51,14 @@
 }
 
 // usable reports whether the server may be chosen at all.
-func (se *server) usable(as Ask) bool {
+//
+// One that all connections lead to already may not: a request would find none
+// free, and while a server stands still its queue here would grow although the
+// other replicas have room.
+func (tb *Table) usable(se *server, as Ask) bool {
+	if most, ok := tb.limits[as.Service]; ok && len(se.flights) >= most {
+		return false
+	}
 	return !se.moved && !slices.Contains(as.Avoid, se.record.ID)
 }
 
@@ -60,7 +71,7 @@
 	servers := tb.services[as.Service]
 	sure := 0
 	for _, se := range servers {
-		if se.usable(as) && se.standing(at) == sound {
+		if tb.usable(se, as) && se.standing(at) == sound {
 			sure++
 		}
 	}
@@ -68,7 +79,7 @@
 		return nil
 	}
 	for _, se := range servers {
-		if !se.usable(as) || len(se.flights) > 0 {
+		if !tb.usable(se, as) || len(se.flights) > 0 {
 			continue
 		}
 		switch se.standing(at) {
@@ -103,7 +114,7 @@
 	var least float64
 	class := due
 	for _, se := range tb.services[as.Service] {
-		if !se.usable(as) {
+		if !tb.usable(se, as) {
 			continue
 		}
 		time, sd := se.expected(at, typical)
@@ -125,13 +136,13 @@
 	var chosen *server
 	count, near := 0, false
 	for _, se := range tb.services[as.Service] {
-		if !se.usable(as) {
+		if !tb.usable(se, as) {
 			continue
 		}
 		time, sd := se.expected(at, typical)
 		time *= se.stale(at, len(as.Avoid) > 0)
 		own := tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
-		if own {
+		if own && se.reliable(at) {
 			time /= ownFactor
 		}
 		if min(sd, shunned) != class || time > most {
@@ -150,6 +161,12 @@
 	return chosen
 }
 
+// reliable reports whether the server hardly fails or refuses at the moment. One
+// that does costs retries, which are scarcer than bytes between data centres.
+func (se *server) reliable(at time.Duration) bool {
+	return se.failures*se.fade(at) < fewFailures
+}
+
 // HedgeAfter returns the time from a request's start after which another server
 // should be asked too: the latency that a HedgeShare of the requests of its
 // work exceed, and the median if the server is believed to be slow, suspect or
@@ -173,7 +190,7 @@
 		return false
 	}
 	for _, se := range tb.services[as.Service] {
-		if se != poor && se.usable(as) && se.standing(at) == sound && slowFactor*se.factor(at) < max(factor, slowFactor+1) {
+		if se != poor && tb.usable(se, as) && se.standing(at) == sound && slowFactor*se.factor(at) < max(factor, slowFactor+1) {
 			return true
 		}
 	}
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -393,7 +393,7 @@
 	at := tb.at(fa.sm.clock())
 	var of []*server
 	for _, se := range tb.services[as.Service] {
-		if se.usable(as) {
+		if tb.usable(se, as) {
 			of = append(of, se)
 		}
 	}
--- a/replica/table.go
+++ b/replica/table.go
@@ -49,6 +49,7 @@
 	services map[string][]*server
 	servers  map[string]*server
 	works    map[string]*work
+	limits   map[string]int // limits are the most requests in flight at one server, by service.
 }
 
 // New returns a table without servers.
@@ -99,6 +100,28 @@
 	}
 }
 
+// Ready returns how many servers of a service may be chosen at some time.
+func (tb *Table) Ready(service string) int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	count := 0
+	for _, se := range tb.services[service] {
+		if !se.moved {
+			count++
+		}
+	}
+	return count
+}
+
+// Limit takes over how many requests may be in flight at one server of each
+// service, which is how many connections this instance may open to it. A service
+// that isn't named has no limit.
+func (tb *Table) Limit(most map[string]int) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.limits = most
+}
+
 // Ask is what a server is wanted for.
 type Ask struct {
 	Service string
