--- a/tier/control.go
+++ b/tier/control.go
@@ -134,15 +134,5 @@
 
 // Addresses returns the entry instances to use, those of the data centre first.
 func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
-	ens := co.pu.Entries()
-	near := make([]string, 0, len(ens))
-	var far []string
-	for _, en := range ens {
-		if en.DataCentre == dataCentre {
-			near = append(near, en.Address)
-			continue
-		}
-		far = append(far, en.Address)
-	}
-	return append(near, far...), co.sh.se.Load().Timing.AddressTTL
+	return addresses(co.pu.Entries(), dataCentre), co.sh.se.Load().Timing.AddressTTL
 }
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -75,6 +75,7 @@
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
+	sp.Add(service{"idle connections", func(ctx context.Context) error { return closeIdle(ctx, up, ts) }})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := sp.ServeBackground(run)
@@ -126,3 +127,20 @@
 
 // EntriesChanged takes over which entry instances share the backend servers.
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
+
+// idlePeriod is how often connections that nobody uses are looked at.
+const idlePeriod = 5 * time.Second
+
+// closeIdle closes connections to backend servers that were idle for too long.
+func closeIdle(ctx context.Context, up *upstream.Client, ts *timer.Service) error {
+	su := ts.Subscribe(idlePeriod)
+	defer su.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-su.C:
+			up.CloseIdle(now)
+		}
+	}
+}
