--- a/gateway/run.go
+++ b/gateway/run.go
@@ -109,11 +109,6 @@
 	if wa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
-	if cr.costs(wa) && !sv.bu.Spend(now, service, keep(wa.Kind)) {
-		cr.denied(service)
-		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
-		return
-	}
 	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable()}
 	pk, ok := sv.re.Choose(now, as)
 	if !ok {
@@ -121,6 +116,12 @@
 		cr.qu.Denied(now, wa.Shard, ca, now.Add(pause))
 		return
 	}
+	if cr.costs(wa) && !sv.bu.Spend(now, service, keep(wa.Kind)) {
+		sv.re.Done(now, pk, replica.Report{Kind: replica.Canceled})
+		cr.denied(service)
+		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
+		return
+	}
 	switch wa.Kind {
 	case scatter.Hedge:
 		cr.ca.hedged++
