tier: control instances remember backend servers across a power loss

Ruled out: links (dials to dead machines now give up after 250 ms), the configuration (in force by then). Change: a control instance notes what it hears beside its log and starts from that; what is not announced again within two periods is dropped. TestBookRestore.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,299 @@
+package budget
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func plain() Config { return Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 1} }
+
+// spendAll spends what the budget has and returns how much that was.
+func spendAll(bu *Budget, now time.Time, keep float64) int {
+	count := 0
+	for bu.Spend(now, "s", keep) {
+		count++
+	}
+	return count
+}
+
+func arrive(bu *Budget, now time.Time, count int) {
+	for range count {
+		bu.Arrival(now, "s")
+	}
+}
+
+func TestSpend(t *testing.T) {
+	tests := []struct {
+		name              string
+		cf                Config
+		entries, requests int
+		arrived, at       float64 // These are in seconds since the start.
+		keep              float64
+		want              int
+	}{
+		{"nothing asked, entries unknown", plain(), 0, 0, 20, 20, 0, 0},
+		{"ratio alone while entries are unknown", plain(), 0, 100, 20, 20, 0, 20},
+		{"slack of one entry", plain(), 1, 0, 20, 20, 0, 50},
+		{"slack of five entries", plain(), 5, 0, 20, 20, 0, 10},
+		{"less than one extra", plain(), 60, 0, 20, 20, 0, 0},
+		{"ratio and slack", plain(), 5, 100, 20, 20, 0, 30},
+		{"share of both", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 0.5}, 5, 100, 20, 20, 0, 15},
+		{"no share is all", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, 5, 100, 20, 20, 0, 30},
+		{"no window is 10 s", Config{Ratio: 0.2, Share: 1}, 1, 100, 20, 29.5, 0, 20},
+		{"half is kept", plain(), 5, 100, 20, 20, 0.5, 15},
+		{"all is kept", plain(), 5, 100, 20, 20, 1, 0},
+		{"requests inside the window", plain(), 0, 100, 20, 29.7, 0, 20},
+		{"requests out of the window", plain(), 0, 100, 20, 30.3, 0, 0},
+		{"no slack at the start", plain(), 1, 0, 0, 0, 0, 0},
+		{"slack after half a window", plain(), 1, 0, 0, 5, 0, 25},
+		{"slack after a window", plain(), 1, 0, 0, 10, 0, 50},
+		{"ratio counts from the start", plain(), 1, 50, 0, 0, 0, 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bu := New(tt.cf, start)
+			if tt.entries > 0 {
+				bu.SetEntries(start, tt.entries)
+			}
+			arrive(bu, after(tt.arrived), tt.requests)
+			qt.Assert(t, spendAll(bu, after(tt.at), tt.keep), qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestLeft(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	c.Assert(bu.Left(after(20), "s"), qt.Equals, 0.0)
+	bu.SetEntries(start, 5)
+	c.Assert(bu.Left(after(20), "s"), qt.Equals, 1.0)
+	for range 5 {
+		c.Assert(bu.Spend(after(20), "s", 0), qt.IsTrue)
+	}
+	c.Assert(bu.Left(after(20), "s"), qt.Equals, 0.5)
+	c.Assert(bu.Left(after(20), "other"), qt.Equals, 1.0)
+	spendAll(bu, after(20), 0)
+	c.Assert(bu.Left(after(20), "s"), qt.Equals, 0.0)
+	c.Assert(bu.Left(after(31), "s"), qt.Equals, 1.0)
+}
+
+// What is spent returns when its window has passed, not a moment sooner.
+func TestWindowSlides(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	bu.SetEntries(start, 1)
+	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 50)
+	for _, at := range []float64{20.1, 25, 29.9, 30} {
+		c.Assert(spendAll(bu, after(at), 0), qt.Equals, 0, qt.Commentf("at %v s", at))
+	}
+	c.Assert(spendAll(bu, after(30.5), 0), qt.Equals, 50)
+}
+
+// An instance is out of sight of control for some seconds and goes on serving
+// with the part of the slack that it knew. If the others took its part at once,
+// the service would get more than the bound in that window.
+func TestEntriesOutOfSight(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	bu.SetEntries(after(0), 10)
+	bu.SetEntries(after(20), 5)
+	c.Assert(bu.Spend(after(39), "a", 0), qt.IsTrue)
+	c.Assert(spendAll(bu, after(39.9), 0), qt.Equals, 5)
+	c.Assert(spendAll(bu, after(55), 0), qt.Equals, 10)
+	bu.SetEntries(after(70), 50)
+	c.Assert(spendAll(bu, after(70), 0), qt.Equals, 1)
+}
+
+func TestEntriesAfterSilence(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	bu.SetEntries(after(0), 10)
+	c.Assert(spendAll(bu, after(1000), 0), qt.Equals, 5)
+	bu.SetEntries(after(1000), 0)
+	c.Assert(spendAll(bu, after(1015), 0), qt.Equals, 5)
+}
+
+func TestReturn(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	bu.SetEntries(start, 50)
+	c.Assert(bu.Spend(after(20), "s", 0), qt.IsTrue)
+	c.Assert(bu.Spend(after(21), "s", 0), qt.IsFalse)
+	bu.Return(after(21), after(20), "s")
+	c.Assert(bu.Spend(after(21), "s", 0), qt.IsTrue)
+	bu.Return(after(21), after(20), "s")
+	c.Assert(bu.Spend(after(21), "s", 0), qt.IsFalse)
+	bu.Return(after(40), after(21), "s")
+	bu.Return(after(40), after(50), "s")
+	bu.Return(after(40), start.Add(-time.Hour), "s")
+	c.Assert(spendAll(bu, after(40), 0), qt.Equals, 1)
+}
+
+// Callers read the clock before they take the lock, so a call may come with an
+// older time than the one before it.
+func TestTimeOfOvertakenCalls(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	bu.SetEntries(start, 1)
+	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 50)
+	c.Assert(spendAll(bu, after(19), 0), qt.Equals, 0)
+	c.Assert(spendAll(bu, after(9), 0), qt.Equals, 0)
+	arrive(bu, after(9), 10)
+	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 2)
+}
+
+func TestUnusedServicesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	bu := New(plain(), start)
+	for ix := range 1000 {
+		bu.Arrival(after(0), fmt.Sprint(ix))
+	}
+	bu.Arrival(after(15), "kept")
+	c.Assert(bu.services, qt.HasLen, 1001)
+	bu.Arrival(after(26), "new") // A sweep at 15 s found nothing; the next is due 10 s later.
+	c.Assert(bu.services, qt.HasLen, 2)
+	c.Assert(bu.services["kept"], qt.IsNotNil)
+}
+
+func TestNoAllocations(t *testing.T) {
+	bu := New(plain(), start)
+	bu.SetEntries(start, 3)
+	now := after(20)
+	bu.Arrival(now, "s")
+	got := testing.AllocsPerRun(1000, func() {
+		now = now.Add(7 * time.Millisecond)
+		bu.Arrival(now, "s")
+		bu.Spend(now, "s", 0.1)
+		bu.Left(now, "s")
+		bu.SetEntries(now, 4)
+	})
+	qt.Assert(t, got, qt.Equals, 0.0)
+}
+
+// TestBound checks the bound of the package against the exact times of all
+// requests and extra arrivals, for the window that ends at each extra arrival.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cf := Config{
+			Ratio:  rapid.Float64Range(0, 1).Draw(rt, "ratio"),
+			Slack:  rapid.IntRange(0, 100).Draw(rt, "slack"),
+			Window: time.Duration(rapid.IntRange(1, 20).Draw(rt, "window")) * time.Second,
+			Share:  rapid.Float64Range(0.1, 1).Draw(rt, "share"),
+		}
+		bu := New(cf, start)
+		entries := rapid.IntRange(1, 20).Draw(rt, "entries")
+		bu.SetEntries(start, entries)
+		var requests, extras []time.Time
+		now := start
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(cf.Window/8)).Draw(rt, "gap")))
+			for range rapid.IntRange(0, 20).Draw(rt, "requests") {
+				bu.Arrival(now, "s")
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 5).Draw(rt, "extras") {
+				if !bu.Spend(now, "s", 0) {
+					break
+				}
+				extras = append(extras, now)
+				grown := min(1, float64(now.Sub(start))/float64(cf.Window))
+				bound := cf.Share * (cf.Ratio*float64(within(requests, now, cf.Window)) + grown*float64(cf.Slack)/float64(entries))
+				if spent := within(extras, now, cf.Window); float64(spent) > bound+1e-9 {
+					rt.Fatalf("%d extra arrivals in the window, the bound is %v", spent, bound)
+				}
+			}
+		}
+	})
+}
+
+// within returns how many of the times lie in the window that ends now.
+func within(tis []time.Time, now time.Time, window time.Duration) int {
+	count := 0
+	for _, ti := range tis {
+		if now.Sub(ti) <= window {
+			count++
+		}
+	}
+	return count
+}
+
+// TestManyInstances checks that instances that don't talk keep the sum within
+// the bound of the whole system, though one is started anew and forgets.
+func TestManyInstances(t *testing.T) {
+	const count = 9
+	c := qt.New(t)
+	cf := Config{Ratio: 0.2, Slack: 58, Window: 10 * time.Second, Share: 0.85}
+	var bus []*Budget
+	for range count {
+		bu := New(cf, start)
+		bu.SetEntries(start, count)
+		bus = append(bus, bu)
+	}
+	var requests, extras []time.Time
+	for ms := 0; ms < 40_000; ms += 25 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms == 20_000 {
+			bus[0] = New(cf, now)
+			bus[0].SetEntries(now, count)
+		}
+		for ix, bu := range bus {
+			if (ms/25+ix)%3 == 0 {
+				bu.Arrival(now, "s")
+				requests = append(requests, now)
+			}
+			for bu.Spend(now, "s", 0) {
+				extras = append(extras, now)
+			}
+		}
+		bound := cf.Ratio*float64(within(requests, now, cf.Window)) + float64(cf.Slack)
+		c.Assert(float64(within(extras, now, cf.Window)) <= bound, qt.IsTrue, qt.Commentf("at %d ms", ms))
+	}
+	c.Assert(len(extras) > 400, qt.IsTrue, qt.Commentf("%d extra arrivals", len(extras)))
+}
+
+func TestConcurrentUse(t *testing.T) {
+	bu := New(plain(), start)
+	bu.SetEntries(start, 1)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	for range 8 {
+		wg.Go(func() {
+			spent := 0
+			for ix := range 200 {
+				now := after(20 + float64(ix)/100)
+				bu.Left(now, "s")
+				if bu.Spend(now, "s", 0) {
+					spent++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total += spent
+		})
+	}
+	wg.Wait()
+	qt.Assert(t, total, qt.Equals, 50)
+}
+
+func BenchmarkSpend(b *testing.B) {
+	bu := New(plain(), start)
+	bu.SetEntries(start, 9)
+	now := after(20)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		bu.Arrival(now, "s")
+		bu.Spend(now, "s", 0.1)
+	}
+}
--- a/cmd/balsamctl/run.go
+++ b/cmd/balsamctl/run.go
@@ -75,6 +75,8 @@
 	from      uint64
 	content   bool
 	name      string
+	request   string
+	logs      []string
 }
 
 // invocation is one call of a subcommand.
--- a/cmd/balsamctl/steer.go
+++ b/cmd/balsamctl/steer.go
@@ -12,17 +12,28 @@
 
 var explainCommand = command{
 	name:    "explain",
-	args:    "SUBJECT",
-	minArgs: 1,
+	args:    explainArgs,
 	maxArgs: 1,
-	summary: "Say why something is as it is.",
+	summary: "Say why something is as it is, or what became of a request.",
 	help: `
 SUBJECT is the name of a backend server, an instance or a service, a change id,
-or the word leader.
+or the word leader; an instance is asked.
+
+With -request, the logs of instances are read instead, whole files or all files of
+a folder, also with a time in seconds and the instance's name before each line. It
+shows the lines of the request, what each instance that wrote one believed at that
+moment, and the last lines about the backend servers that are named.
 `,
-	example: "balsamctl explain -instances 10.1.1.11:7003 archivo-07",
+	example: "balsamctl explain -instances 10.1.1.11:7003 archivo-07\n  balsamctl explain -request 6263dad916613ad5 -logs logs",
 	remote:  true,
-	do:      explain,
+	flags: func(fl *flag.FlagSet, op *options) {
+		fl.StringVar(&op.request, "request", "", "`id` of a request")
+		fl.Func("logs", "`file` or folder of logs; may be given several times", func(path string) error {
+			op.logs = append(op.logs, path)
+			return nil
+		})
+	},
+	do: explain,
 }
 
 var drainCommand = command{
@@ -44,6 +55,8 @@
 	do: drain,
 }
 
+const explainArgs = "SUBJECT | -request ID -logs PATH"
+
 const votersArgs = "add NAME ADDRESS | remove NAME | replace OLD NAME ADDRESS"
 
 var votersCommand = command{
@@ -63,6 +76,12 @@
 }
 
 func explain(ctx context.Context, in *invocation) error {
+	switch {
+	case (len(in.args) == 1) == (in.request != "") || (in.request != "") != (len(in.logs) > 0):
+		return &usageError{fmt.Sprintf("want the arguments %q", explainArgs)}
+	case in.request != "":
+		return explainRequest(in)
+	}
 	cl, err := in.client()
 	if err != nil {
 		return err
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -63,6 +63,7 @@
 	pending     pending
 	armed       bool      // armed says that a flush is due.
 	flushed     time.Time // flushed is the time of the last update.
+	changes     uint64    // changes counts the changes of the book.
 }
 
 // subscriber is one link of an entry instance.
@@ -140,6 +141,29 @@
 	pu.change(now, registry.Change{Server: se})
 }
 
+// Known returns the backend servers that announce themselves here, and a number
+// that grows with every change of them.
+func (pu *Publisher) Known() ([]registry.Server, uint64) {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	ses := pu.book.Records(pu.ts.Now())
+	return slices.DeleteFunc(ses, func(se registry.Server) bool { return se.State == registry.Gone }), pu.changes
+}
+
+// Changes returns the number of Known.
+func (pu *Publisher) Changes() uint64 {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	return pu.changes
+}
+
+// Restore takes in what Known returned before the process ended. What is not
+// announced again within keep is dropped. It is called before the first link.
+func (pu *Publisher) Restore(ses []registry.Server, keep time.Duration) {
+	pu.book.Restore(pu.ts.Now(), ses, keep)
+	pu.lg.Info("backend-servers-restored", zap.Int("Servers", len(ses)))
+}
+
 // Leave takes in that a backend server has ended for good.
 func (pu *Publisher) Leave(id string) {
 	now := pu.ts.Now()
@@ -154,6 +178,7 @@
 
 // change makes the next update tell a change.
 func (pu *Publisher) change(now time.Time, ch registry.Change) {
+	pu.changes++
 	pu.pending.add(ch)
 	pu.arm(now)
 }
--- a/feed/publisher_test.go
+++ b/feed/publisher_test.go
@@ -349,6 +349,7 @@
 		old := wo.entry("entry-1", "one:1")
 		wo.after(soon)
 		old.su.SetState(Draining)
+		wo.after(soon)
 		for _, li := range wo.all("entry-1", "") {
 			li.cut.Store(true) // Nobody tells the control instance of the end.
 		}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -148,7 +148,7 @@
 	su.events = make(chan event, eventBound)
 	su.sources = make(map[string]*source)
 	su.fetch = fetch{}
-	su.alarm = su.ts.Timeout(seedPeriod, su.nudge)
+	su.alarm, su.alarmAt = su.ts.Timeout(seedPeriod, su.nudge), time.Time{}
 	defer su.alarm.Stop()
 	su.up.Store(0)
 	tick := su.ts.Subscribe(min(max(su.cf.Hold/holdShare, tickLeast), tickMost))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -111,6 +111,28 @@
 	gone.reads(3, "three")
 }
 
+// A voter is down until all others have lost their disks and were replaced, one
+// after the other. Nobody that it knows is left; it must find that out, and stand
+// by or vote again under its own identity.
+func TestLongReplacedVoterReturns(t *testing.T) {
+	gr := form(t, 1, 3, 1)
+	gr.all[3].propose(1, "one")
+	gone := gr.follower()
+	gone.stop()
+	gr.awaitVoters(3)
+	for _, in := range gr.all {
+		if in != gone {
+			in.loseDisk()
+			in.run(false)
+			gr.awaitVoters(3)
+		}
+	}
+	gone.run(false)
+	gr.await("the returned one stands by", func() bool { return gone.nd.Status().Role == "Outsider" })
+	gone.propose(2, "two")
+	gr.awaitDocument(2, "two")
+}
+
 // A disk is lost and its instance comes back empty under another identity, which
 // takes the old one's place. Then another instance ends: the document must be on
 // the newcomer, and its vote must count.
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -235,8 +235,13 @@
 	th.housedAt = now
 	th.manage(now)
 	th.name(now)
-	if vo := th.vo; vo != nil && vo.formed && vo.st.Role() == quorum.Outsider {
-		th.petition()
+	if vo := th.vo; vo != nil && vo.formed {
+		switch vo.st.Role() {
+		case quorum.Outsider:
+			th.petition()
+		case quorum.Uncleared:
+			th.greet()
+		}
 	}
 }
 
@@ -336,6 +341,17 @@
 	}
 }
 
+// greet asks all partners that the voter set on the disk lacks whether this
+// instance may take part. While it was down, all that the set names may have been
+// replaced, and nobody would answer it for ever.
+func (th *thread) greet() {
+	for _, pa := range th.nd.li.known() {
+		if id := pa.report.ID; id != "" && !th.inSet(id) {
+			th.step(quorum.Greet{Now: th.now(), To: id})
+		}
+	}
+}
+
 // petition repeats the report to those who may add this instance to the voters
 // and send it documents: the leader if it is known, else all.
 func (th *thread) petition() {
--- a/link/link.go
+++ b/link/link.go
@@ -229,13 +229,22 @@
 		if err := co.nc.SetWriteDeadline(co.cf.TS.Now().Add(co.cf.Silence)); err != nil {
 			return err
 		}
-		if _, err := piece.WriteTo(co.nc); err != nil {
+		if err := co.writePiece(piece); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (co *Conn) writePiece(piece net.Buffers) error {
+	if len(piece) == 1 {
+		_, err := co.nc.Write(piece[0])
+		return err
+	}
+	_, err := piece.WriteTo(co.nc)
+	return err
+}
+
 // Receive returns the next message. The error says why the connection ended.
 func (co *Conn) Receive() (peer.Message, error) {
 	for {
--- a/quorum/hello.go
+++ b/quorum/hello.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // sighting is what this voter has seen of another one since its own start. Only
@@ -95,6 +96,7 @@
 		re.Leader = sp.leader
 	}
 	re.Removed = sp.expelled(from)
+	re.LastIndex, re.LastTerm, re.Voters = sp.log.last(), sp.log.lastTerm(), sp.Voters()
 	sp.send(from, re)
 }
 
@@ -109,7 +111,52 @@
 }
 
 // answer is a clearance, with the leader that the answering voter hears.
-type answer struct{ id, leader ID }
+type answer struct {
+	id, leader ID
+	at         time.Time // at is when it came.
+}
+
+// ahead is a log that is newer than the own one, by its last entry.
+type ahead struct {
+	index, term uint64
+	voters      VoterSet
+}
+
+// noteAhead keeps the voter set of the newest log.
+//
+// A voter that was down while others were replaced knows a set of which no
+// majority may be left: it would ask the disks that are gone for ever, and the
+// one that holds the newest log could not lead without its vote.
+func (sp *step) noteAhead(re HelloReply) {
+	term, index := sp.log.lastTerm(), sp.log.last()
+	if sp.ahead.term != 0 {
+		term, index = sp.ahead.term, sp.ahead.index
+	}
+	if re.LastTerm > term || re.LastTerm == term && re.LastIndex > index {
+		sp.ahead = ahead{index: re.LastIndex, term: re.LastTerm, voters: re.Voters}
+	}
+}
+
+// sets returns the voter sets of which a majority may clear this member.
+func (sp *step) sets() []VoterSet {
+	if sp.ahead.term == 0 {
+		return []VoterSet{sp.Voters()}
+	}
+	return []VoterSet{sp.Voters(), sp.ahead.voters}
+}
+
+// asked returns the others in these sets.
+func (sp *step) asked() []ID {
+	var ids []ID
+	for _, vs := range sp.sets() {
+		for _, id := range vs.Voters {
+			if id != sp.cf.Self && !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
 
 // begin decides the role after a start.
 func (sp *step) begin() {
@@ -130,14 +177,19 @@
 		return
 	}
 	sp.heartbeatAt = sp.now.Add(sp.cf.Heartbeat)
-	for _, id := range sp.Voters().Voters {
-		if id != sp.cf.Self {
-			sp.sayHello(id)
-		}
+	for _, id := range sp.asked() {
+		sp.sayHello(id)
 	}
 	sp.tryClear()
 }
 
+// greet asks an instance that may be in no set known here.
+func (sp *step) greet(to ID) {
+	if sp.role == Uncleared && to != sp.cf.Self {
+		sp.sayHello(to)
+	}
+}
+
 func (sp *step) sayHello(to ID) {
 	sp.send(to, Hello{Header: sp.header(), LastIndex: sp.log.last()})
 }
@@ -156,7 +208,8 @@
 		return
 	}
 	sp.answers = slices.DeleteFunc(slices.Clone(sp.answers), func(an answer) bool { return an.id == from })
-	sp.answers = append(sp.answers, answer{from, re.Leader})
+	sp.answers = append(sp.answers, answer{from, re.Leader, sp.now})
+	sp.noteAhead(re)
 	sp.tryClear()
 }
 
@@ -180,7 +233,8 @@
 
 // tryClear ends the time in which this member neither votes nor acknowledges.
 //
-// A majority must have answered, itself counted if it is a voter. Of 3 voters
+// A majority must have answered, itself counted if it is a voter, of the own voter
+// set or of that in the newest log which an answer told of. Of 3 voters
 // one answer makes a majority, and it may come from the one that knows nothing.
 // So the leader's answer is awaited if one is heard; otherwise all answers are,
 // for as long as any voter could still be following a leader unheard by us.
@@ -189,34 +243,43 @@
 // one that knows better is out of reach or has started again as well; an older
 // disk of the only voter; and one from a time at which it was the only voter.
 func (sp *step) tryClear() {
-	vs := sp.Voters()
-	isVoter := vs.HasVoter(sp.cf.Self)
-	count, others := 0, len(vs.Voters)
-	if isVoter {
-		count, others = 1, others-1
-	}
-	answered := 0
 	byLeader, waitsForLeader := false, false
 	for _, an := range sp.answers {
-		if vs.HasVoter(an.id) {
-			answered++
-		}
 		byLeader = byLeader || an.id == an.leader
-		waitsForLeader = waitsForLeader || an.leader != ""
+		// One that doesn't answer any more may have heard the leader's last word.
+		fresh := sp.now.Before(an.at.Add(sp.cf.Election))
+		waitsForLeader = waitsForLeader || an.leader != "" && fresh
 	}
-	majority := strictMajority(count+answered, len(vs.Voters))
+	majority := slices.ContainsFunc(sp.sets(), sp.majorityAnswered)
+	all := !slices.ContainsFunc(sp.asked(), func(id ID) bool { return !sp.answered(id) })
 	waited := !sp.now.Before(sp.startedAt.Add(2*sp.cf.Election)) && !waitsForLeader
 	switch {
-	case byLeader && (majority || !isVoter):
+	case byLeader && (majority || !sp.Voters().HasVoter(sp.cf.Self)):
 		sp.clear()
-	case majority && (answered == others || waited):
+	case majority && (all || waited):
 		sp.clear()
 	}
 }
 
+// answered reports whether an instance has cleared this one, or is this one.
+func (sp *step) answered(id ID) bool {
+	return id == sp.cf.Self || slices.ContainsFunc(sp.answers, func(an answer) bool { return an.id == id })
+}
+
+func (sp *step) majorityAnswered(vs VoterSet) bool {
+	count := 0
+	for _, id := range vs.Voters {
+		if sp.answered(id) {
+			count++
+		}
+	}
+	return strictMajority(count, len(vs.Voters))
+}
+
 func (sp *step) clear() {
 	sp.cleared = true
 	sp.answers = nil
+	sp.ahead = ahead{}
 	sp.resetElection()
 	if sp.role != Uncleared {
 		return
@@ -229,9 +292,16 @@
 }
 
 // admit reports whether a message may be acted on: not before this member's own
-// disk is cleared, and not if the sender's disk is in doubt.
+// disk is cleared, and not if the sender's disk is in doubt. A member that is not
+// cleared asks the sender, which may be in no set known here.
 func (sp *step) admit(from ID, he Header) bool {
-	return sp.recognise(from, he) && sp.cleared
+	if !sp.recognise(from, he) {
+		return false
+	}
+	if !sp.cleared {
+		sp.greet(from)
+	}
+	return sp.cleared
 }
 
 // admitLeader is admit for what only a leader sends. A member that is not in its
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -35,6 +35,9 @@
 	Refusal string // Refusal says what was seen of the asker that its disk lacks.
 	Removed bool   // Removed says that the committed voter set lacks the asker.
 	Leader  ID     // Leader is the leader that the sender hears, or the sender itself.
+
+	LastIndex, LastTerm uint64   // LastIndex is the end of the sender's log.
+	Voters              VoterSet // Voters is the newest set in it.
 }
 
 // VoteRequest asks for a vote in the sender's term, or with Pre whether a vote
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -102,6 +102,14 @@
 // others it does nothing.
 type Probe struct{ Now time.Time }
 
+// Greet makes a member that is not cleared yet ask another instance too, which the
+// voter set on its disk may lack. A leader that has removed it says so. At all
+// others it does nothing.
+type Greet struct {
+	Now time.Time
+	To  ID
+}
+
 // ChangeVoters asks the leader to add a newcomer or to remove a member; exactly
 // one of the two is set. Appended or Refused answers with the same tag. A
 // newcomer starts as a learner and is promoted by the leader once it has caught
@@ -133,6 +141,7 @@
 func (Received) isEvent()      {}
 func (Propose) isEvent()       {}
 func (Probe) isEvent()         {}
+func (Greet) isEvent()         {}
 func (ChangeVoters) isEvent()  {}
 func (Compacted) isEvent()     {}
 func (SnapshotReady) isEvent() {}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -36,6 +36,7 @@
 	cleared bool
 	refusal string // refusal says why the disk must not be used.
 	answers []answer
+	ahead   ahead // ahead is the newest log that an answer told of.
 
 	members   []progress // members are the others, in a leader only.
 	ledSince  time.Time
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -41,6 +41,9 @@
 	case Probe:
 		sp.now = ev.Now
 		sp.probe()
+	case Greet:
+		sp.now = ev.Now
+		sp.greet(ev.To)
 	case ChangeVoters:
 		sp.now = ev.Now
 		sp.changeVoters(ev)
--- a/registry/book.go
+++ b/registry/book.go
@@ -90,6 +90,23 @@
 	return true
 }
 
+// Restore takes in what a book held before its process ended. What isn't
+// announced again within keep is dropped; nothing is overwritten that was
+// announced since.
+func (bk *Book) Restore(now time.Time, ses []Server, keep time.Duration) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	at := bk.wa.look(now)
+	for _, se := range ses {
+		_, left := bk.left.get(se.ID)
+		_, known := bk.heard[se.ID]
+		if left || known || se.ID == "" || se.State == Gone {
+			continue
+		}
+		bk.add(at-max(0, bk.silence-keep), se)
+	}
+}
+
 // Leave takes that a server has left, and reports whether it is news. The id is
 // remembered as Gone for 10 minutes, also one never heard before, so that an
 // announcement which arrives after it changes nothing; of more than 10000 such
--- a/registry/book_test.go
+++ b/registry/book_test.go
@@ -271,3 +271,37 @@
 		qt.Assert(t, bk.Announce(t0.Add(silence), ready(fmt.Sprint(worker, "-9"), 1000)), qt.IsFalse, qt.Commentf("it has left"))
 	}
 }
+
+// A control instance loses power and comes back. Until the backend servers
+// announce themselves again it goes by what it had noted; one that has ended
+// meanwhile must not stay for as long as one that has just announced itself.
+func TestBookRestore(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	bk := NewBook(4 * time.Second)
+	bk.Leave(now, "left")
+	bk.Announce(now, Server{ID: "new", Address: "a", Sequence: 9, State: Draining})
+	bk.Restore(now, []Server{
+		{ID: "new", Address: "a", Sequence: 3},
+		{ID: "left", Sequence: 3},
+		{ID: "", Sequence: 1},
+		{ID: "gone", Sequence: 1, State: Gone},
+		{ID: "back", Sequence: 3},
+		{ID: "ended", Sequence: 3},
+	}, 2*time.Second)
+	ids := func() (out []string) {
+		for _, se := range bk.Records(now) {
+			if se.State != Gone {
+				out = append(out, se.ID)
+			}
+		}
+		return out
+	}
+	c.Assert(ids(), qt.DeepEquals, []string{"new", "back", "ended"})
+	now = now.Add(time.Second)
+	c.Assert(bk.Announce(now, Server{ID: "back", Sequence: 4}), qt.IsFalse)
+	c.Assert(bk.Expire(now), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(bk.Expire(now), qt.DeepEquals, []string{"ended"})
+	c.Assert(ids(), qt.DeepEquals, []string{"new", "back"})
+}
--- a/tier/control.go
+++ b/tier/control.go
@@ -40,6 +40,8 @@
 func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	co := &control{sh: sh, lg: lg, ts: ts}
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
+	me := memory{dir: se.DataFolder, pu: co.pu, ts: ts, lg: lg}
+	me.restore(se.Timing.Announcement)
 	co.nd = fleet.New(fleet.Config{
 		Name: se.Name, Address: se.LinkAddress(), Seeds: sh.linkSeeds, First: se.FirstStart, Losses: se.Losses,
 		Dir: se.DataFolder, Election: se.Timing.Election, Heartbeat: se.Timing.Heartbeat, Link: lc,
@@ -60,6 +62,7 @@
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
+	sp.Add(service{"memory", me.serve})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := sp.ServeBackground(run)
--- a/tier/run.go
+++ b/tier/run.go
@@ -23,7 +23,7 @@
 // Times of links between instances. A silent link is found within linkSilence,
 // far within the time in which a change must be in force.
 const (
-	linkDial    = 500 * time.Millisecond
+	linkDial    = 250 * time.Millisecond
 	linkPing    = 300 * time.Millisecond
 	linkSilence = 1200 * time.Millisecond
 )
--- a/trail/explain.go
+++ b/trail/explain.go
@@ -59,8 +59,17 @@
 	ID      string
 	Service string
 	Lines   []Line // Lines are the last of each kind from each instance, in the order of time.
+	// Around counts how attempts at it ended that lines of other requests list, from
+	// AroundWindow before the request came to AroundWindow after its end. If several
+	// instances had trouble with it, the cause lies there rather than with one
+	// instance.
+	Around    map[string]int
+	Instances int // Instances counts those that wrote these lines.
 }
 
+// AroundWindow is the time for ServerStory.Around.
+const AroundWindow = 2 * time.Second
+
 // The states of a Belief.
 const (
 	StateStarting = "Starting"
@@ -74,8 +83,8 @@
 	mostDuring = 30
 	// mostServers bounds the backend servers that are looked for.
 	mostServers = 100
-	// mostServerLines bounds ServerStory.Lines.
-	mostServerLines = 8
+	// mostSameEvent bounds the lines of one event in ServerStory.Lines.
+	mostSameEvent = 3
 	// requestPrefix begins the events of lines about requests.
 	requestPrefix = "request-"
 )
@@ -94,7 +103,7 @@
 	}
 	ex.prepare()
 	ex.story.Unread = 0 // The second reading counts them all.
-	if err := ex.scan(sos, otherLine, ex.other); err != nil {
+	if err := ex.scan(sos, ex.otherLine, ex.other); err != nil {
 		return Story{}, err
 	}
 	ex.finish()
@@ -105,10 +114,12 @@
 type explainer struct {
 	id       string
 	story    Story
-	marked   bool // marked says that all logs have times of one clock.
+	marks    [][]byte // marks are what lines have that name a backend server.
+	marked   bool     // marked says that all logs have times of one clock.
 	beliefs  map[string]*believer
 	servers  map[string]*server
 	services map[string]bool // services are those of which nobody was asked.
+	start    time.Duration   // start is when the request came to the first instance.
 	end      time.Duration
 }
 
@@ -219,6 +230,9 @@
 	ex.beliefs = make(map[string]*believer)
 	ex.servers = make(map[string]*server)
 	ex.services = make(map[string]bool)
+	if len(ex.story.Lines) > 0 {
+		ex.start, ex.end = ex.began(ex.story.Lines[0]), ex.moment(ex.story.Lines[0])
+	}
 	for _, li := range ex.story.Lines {
 		be := ex.beliefs[li.Instance]
 		if be == nil {
@@ -227,7 +241,7 @@
 			ex.beliefs[li.Instance] = be
 		}
 		be.until = max(be.until, li.place)
-		ex.end = max(ex.end, ex.moment(li))
+		ex.start, ex.end = min(ex.start, ex.began(li)), max(ex.end, ex.moment(li))
 		for _, at := range Attempts(li) {
 			if at.Server == "" {
 				ex.services[at.Service] = true
@@ -236,6 +250,9 @@
 			ex.server(at.Server, at.Service)
 		}
 	}
+	for id := range ex.servers {
+		ex.marks = append(ex.marks, []byte(`"Server":"`+id+`"`))
+	}
 }
 
 // began returns when the request of a line had arrived.
@@ -262,18 +279,52 @@
 func (ex *explainer) server(id, service string) *server {
 	se := ex.servers[id]
 	if se == nil && len(ex.servers) < mostServers {
-		se = &server{last: make(map[string]Line)}
+		se = &server{last: make(map[string]Line), around: make(map[string]bool)}
 		se.ID, se.Service = id, service
 		ex.servers[id] = se
 	}
 	return se
 }
 
-// otherLine wants the lines that are not about requests.
-func otherLine(raw []byte) bool { return !strings.HasPrefix(eventOf(raw), requestPrefix) }
+// otherLine wants the lines that are not about requests, those about requests at
+// the same backend servers, and those that are cut, so that they are counted.
+func (ex *explainer) otherLine(raw []byte) bool {
+	if !strings.HasPrefix(eventOf(raw), requestPrefix) || !whole(raw) {
+		return true
+	}
+	for _, mark := range ex.marks {
+		if bytes.Contains(raw, mark) {
+			return true
+		}
+	}
+	return false
+}
+
+// otherRequest counts what another request met at the same backend servers.
+func (ex *explainer) otherRequest(li Line) {
+	mo := ex.moment(li)
+	if li.Text("RequestID") == ex.id || mo < ex.start-AroundWindow || mo > ex.end+AroundWindow {
+		return
+	}
+	for _, at := range Attempts(li) {
+		se := ex.servers[at.Server]
+		if se == nil {
+			continue
+		}
+		if se.Around == nil {
+			se.Around = make(map[string]int)
+		}
+		se.Around[at.End]++
+		se.around[li.Instance] = true
+	}
+}
 
 // other takes a line that is not about a request.
 func (ex *explainer) other(li Line) {
+	if strings.HasPrefix(li.Event, requestPrefix) {
+		ex.otherRequest(li)
+		return
+	}
 	if be := ex.beliefs[li.Instance]; be != nil && li.place < be.until {
 		be.take(li)
 	}
@@ -331,11 +382,11 @@
 	}
 	slices.SortFunc(ex.story.Beliefs, func(aa, bb Belief) int { return strings.Compare(aa.Instance, bb.Instance) })
 	for _, se := range ex.servers {
+		se.Instances = len(se.around)
 		for _, li := range se.last {
 			se.Lines = append(se.Lines, li)
 		}
-		se.Lines = ex.merged(se.Lines)
-		se.Lines = se.Lines[max(0, len(se.Lines)-mostServerLines):]
+		se.Lines = last(ex.merged(se.Lines))
 		ex.story.Servers = append(ex.story.Servers, se.ServerStory)
 	}
 	slices.SortFunc(ex.story.Servers, func(aa, bb ServerStory) int {
@@ -343,10 +394,24 @@
 	})
 }
 
+// last returns the last lines of each event.
+func last(lis []Line) []Line {
+	var out []Line
+	count := make(map[string]int)
+	for _, li := range slices.Backward(lis) {
+		if count[li.Event]++; count[li.Event] <= mostSameEvent {
+			out = append(out, li)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
 // server collects what is said of a backend server.
 type server struct {
 	ServerStory
-	last map[string]Line // last is by instance and event.
+	last   map[string]Line // last is by instance and event.
+	around map[string]bool // around holds the instances of ServerStory.Around.
 }
 
 // believer follows what an instance believes.
--- a/trail/scan.go
+++ b/trail/scan.go
@@ -78,7 +78,7 @@
 	var raw []byte
 	for place := 0; ; place++ {
 		raw, err = readLine(br, raw[:0])
-		if len(raw) > 0 && bytes.Contains(raw, []byte(`"`+keyEvent+`":`)) && pick(raw) {
+		if eventMark.in(raw) && pick(raw) {
 			if li, ok := parse(raw); ok {
 				li.place = place
 				if !take(li) {
@@ -97,6 +97,21 @@
 	}
 }
 
+// mark is what a line of this package has in it.
+type mark []byte
+
+var eventMark = mark(`"` + keyEvent + `":`)
+
+func (ma mark) in(raw []byte) bool {
+	begin := bytes.IndexByte(raw, '{')
+	return begin >= 0 && bytes.Contains(raw[begin:], ma)
+}
+
+// whole reports whether a line looks as if it was written to its end.
+func whole(raw []byte) bool {
+	return bytes.HasSuffix(bytes.TrimSpace(raw), []byte("}")) && bytes.Count(raw, []byte(`{"`+keyLevel+`":`)) <= 1
+}
+
 // eventOf returns the event of a line without reading the rest of it.
 func eventOf(raw []byte) string {
 	_, rest, ok := bytes.Cut(raw, []byte(`"`+keyEvent+`":"`))
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -250,6 +250,10 @@
 		lg.Info("two")
 		qt.Assert(t, wr.Close(), qt.IsNil)
 		qt.Assert(t, wr.Stats(), qt.Equals, Stats{Written: 2, Failed: 2})
+		var bu bytes.Buffer
+		wr.WriteMetrics(&bu)
+		qt.Assert(t, bu.String(), qt.Equals, "balsamwinch_log_lines_total 2\nbalsamwinch_log_lines_left_out_total 0\n"+
+			"balsamwinch_log_lines_dropped_total 0\nbalsamwinch_log_writes_failed_total 2\n")
 	})
 }
 
--- a/trail/writer.go
+++ b/trail/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -77,6 +78,22 @@
 	return wr.st
 }
 
+// WriteMetrics writes the counts since the start in the Prometheus text format.
+func (wr *Writer) WriteMetrics(out io.Writer) {
+	st := wr.Stats()
+	for _, co := range []struct {
+		name  string
+		count uint64
+	}{
+		{"balsamwinch_log_lines_total", st.Written},
+		{"balsamwinch_log_lines_left_out_total", st.LeftOut},
+		{"balsamwinch_log_lines_dropped_total", st.Dropped},
+		{"balsamwinch_log_writes_failed_total", st.Failed},
+	} {
+		fmt.Fprintf(out, "%s %d\n", co.name, co.count)
+	}
+}
+
 // Flush writes what is queued without waiting for more, and returns once that is
 // done, or ErrStalled after Config.CloseWithin.
 func (wr *Writer) Flush() error {
--- a/wal/replay.go
+++ b/wal/replay.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	jo.active, jo.size = fi, int64(op.cut)
+	jo.active, jo.name, jo.size = fi, last, int64(op.cut)
 	return op.join(sn)
 }
 
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -58,7 +58,9 @@
 	broken   error // broken is what every later call returns.
 	segments []segment
 	active   File
-	size     int64  // size is that of the active segment.
+	name     string // name is that of the active segment.
+	size     int64  // size is that of the active segment, as far as it was synced.
+	unsure   bool   // unsure says that a write beyond size failed.
 	sequence uint64 // sequence numbers the last record.
 	hard     quorum.HardState
 	log      terms
@@ -164,12 +166,14 @@
 	if err != nil {
 		return err
 	}
+	jo.unsure = true
 	if _, err := jo.active.Write(data); err != nil {
 		return err
 	}
 	if err := jo.active.Sync(); err != nil {
 		return err
 	}
+	jo.unsure = false
 	jo.sequence++
 	jo.size += int64(len(data))
 	return nil
@@ -184,7 +188,7 @@
 		return err
 	}
 	old := jo.active
-	jo.active, jo.size = fi, 0
+	jo.active, jo.name, jo.size = fi, se.name, 0
 	if old != nil {
 		if err := old.Close(); err != nil {
 			return err
@@ -262,7 +266,8 @@
 	return jo.removeSegments(sn.Index)
 }
 
-// Close frees the folder. There is nothing to sync, since every Save was.
+// Close frees the folder. There is nothing to sync, since every Save was. What a
+// failed Save wrote is cut off if the disk allows it.
 func (jo *Journal) Close() error {
 	jo.mu.Lock()
 	defer jo.mu.Unlock()
@@ -270,7 +275,22 @@
 		return nil
 	}
 	jo.broken = &result.Error{Code: result.StorageFailed, Op: "journal", Detail: jo.dir, Err: errClosed}
-	return errors.Join(jo.active.Close(), jo.lock.Close())
+	err := jo.active.Close()
+	if jo.unsure {
+		err = errors.Join(err, jo.cut())
+	}
+	return errors.Join(err, jo.lock.Close())
+}
+
+// cut removes what a failed write left behind the last synced record. The kernel
+// may show it at the next opening without having it on the disk, and an entry
+// that was recovered would be acknowledged.
+func (jo *Journal) cut() error {
+	fi, err := jo.fsys.Append(filepath.Join(jo.dir, jo.name), jo.size)
+	if err != nil {
+		return err
+	}
+	return fi.Close()
 }
 
 var errClosed = errors.New("the journal is closed")
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -232,6 +232,36 @@
 	}
 }
 
+// A sync fails and the voter opens the folder again without a restart of the
+// machine. The kernel still shows what was written, but has dropped it and says
+// that the next sync went well: the voter would acknowledge an entry that a loss
+// of power takes away. So what failed is cut off before the folder is opened.
+func TestFailedWriteIsNotRecovered(t *testing.T) {
+	for _, op := range []string{"sync", "write"} {
+		t.Run(op, func(t *testing.T) {
+			c := qt.New(t)
+			di := filled(t)
+			jo, _, err := open(di, folder, zap.NewNop(), segmentBytes)
+			c.Assert(err, qt.IsNil)
+			di.fail = func(what, _ string) error {
+				if what == op {
+					return syscall.EIO
+				}
+				return nil
+			}
+			c.Assert(jo.Save(quorum.Save{Entries: entries(10, 10, 3)}), qt.IsNotNil)
+			di.fail = nil
+			c.Assert(jo.Close(), qt.IsNil)
+			jo, re := mustOpen(t, di)
+			c.Check(re.Entries, qt.DeepEquals, entries(1, 9, 3))
+			c.Check(re.TornBytes, qt.Equals, int64(0))
+			c.Assert(jo.Save(quorum.Save{Entries: entries(10, 11, 4)}), qt.IsNil)
+			_, re = mustOpen(t, di.crash(lost))
+			c.Check(re.Entries[9:], qt.DeepEquals, entries(10, 11, 4))
+		})
+	}
+}
+
 // A voter that was cut off for long is sent a snapshot whose log is another one
 // than its own. Its own entries after that index never were committed: if they
 // came back after a restart, it would look more up to date than it is.
