--- /dev/null
+++ b/emulate/announce.go
@@ -0,0 +1,113 @@
+package emulate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"balsamwinch.example/registry"
+	"balsamwinch.example/result"
+)
+
+// Announcer takes the announcements of backend servers.
+type Announcer interface {
+	// Announce tells what a server is. A nil error means that it was heard.
+	Announce(ctx context.Context, se registry.Server) error
+	// Leave tells that a server is gone for good.
+	Leave(ctx context.Context, id string) error
+}
+
+// controlWithin bounds one call to a control instance.
+const controlWithin = time.Second
+
+// Control calls control instances, one after the other until one accepts. It is
+// safe for concurrent use. Errors are *result.Error.
+type Control struct {
+	addresses []string
+	hc        *http.Client
+	next      atomic.Uint64
+}
+
+var _ Announcer = (*Control)(nil)
+
+// NewControl returns a client of the control instances at the addresses, IP:port.
+func NewControl(addresses []string) *Control {
+	return &Control{addresses: slices.Clone(addresses), hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: controlWithin}}
+}
+
+// Close closes the connections that are idle.
+func (co *Control) Close() { co.hc.CloseIdleConnections() }
+
+// Announce tells a control instance what a server is.
+func (co *Control) Announce(ctx context.Context, se registry.Server) error {
+	data, err := json.Marshal(announcement{
+		Service: se.Service, Address: se.Address, DataCentre: se.DataCentre, Version: se.Version,
+		Slots: se.Slots, State: se.State.String(), Sequence: se.Sequence, WarmMillis: se.WarmMillis,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = co.call(ctx, http.MethodPut, "/servers/"+url.PathEscape(se.ID), data)
+	return err
+}
+
+// Leave tells a control instance that a server is gone.
+func (co *Control) Leave(ctx context.Context, id string) error {
+	_, err := co.call(ctx, http.MethodDelete, "/servers/"+url.PathEscape(id), nil)
+	return err
+}
+
+// Configure has a configuration accepted.
+func (co *Control) Configure(ctx context.Context, data []byte) error {
+	_, err := co.call(ctx, http.MethodPut, "/configuration", data)
+	return err
+}
+
+// Newest returns the newest accepted configuration.
+func (co *Control) Newest(ctx context.Context) ([]byte, error) {
+	return co.call(ctx, http.MethodGet, "/configuration", nil)
+}
+
+// call asks one control instance after the other, each once, beginning with
+// another one each time.
+func (co *Control) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	first := co.next.Add(1)
+	last := &result.Error{Code: result.ControlUnavailable, Op: method + " " + path, Detail: "no control instance is known"}
+	for ix := range uint64(len(co.addresses)) {
+		data, status, err := co.one(ctx, method, co.addresses[(first+ix)%uint64(len(co.addresses))], path, body)
+		switch {
+		case err == nil && status == http.StatusOK:
+			return data, nil
+		case err == nil && status == http.StatusBadRequest:
+			return nil, &result.Error{Code: result.NotRunBadRequest, Op: method + " " + path, Detail: string(data)}
+		case err == nil:
+			err = fmt.Errorf("status %d: %s", status, data)
+		}
+		last.Detail, last.Err = "no control instance accepted the call", err
+	}
+	return nil, last
+}
+
+func (co *Control) one(ctx context.Context, method, address, path string, body []byte) ([]byte, int, error) {
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	rs, err := co.hc.Do(rq)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer rs.Body.Close()
+	data, err := io.ReadAll(rs.Body)
+	return data, rs.StatusCode, err
+}
+
+func sortedKeys[V any](values map[string]V) []string { return slices.Sorted(maps.Keys(values)) }
--- /dev/null
+++ b/emulate/dialect.go
@@ -0,0 +1,191 @@
+package emulate
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"balsamwinch.example/gateway"
+	"balsamwinch.example/registry"
+	"balsamwinch.example/route"
+	"balsamwinch.example/tier"
+)
+
+// The headers of the dialect.
+const (
+	headerRequestID = "Request-Id"
+	headerDeadline  = "Timeout-Millis"
+	headerExpect    = "Expect-Server"
+	headerStamp     = "Server-Stamp"
+	headerNotRun    = "Not-Run"
+	headerLoad      = "Server-Load"
+	headerServer    = "Server-Id"
+	headerParts     = "Part-Stamps"
+	headerMissing   = "Missing-Parts"
+)
+
+// Dialect is the product's own dialect. Operators call PUT and GET
+// /configuration, backend servers PUT and DELETE /servers/{id}, callers
+// GET /addresses?DataCentre=NAME, and GET /ready tells whether an entry instance
+// serves.
+type Dialect struct{}
+
+var _ tier.Dialect = Dialect{}
+
+// Names returns the header names.
+func (Dialect) Names() gateway.Names {
+	return gateway.Names{
+		RequestID: headerRequestID, Deadline: headerDeadline, Expect: headerExpect,
+		Stamp: headerStamp, NotRun: headerNotRun, Load: headerLoad,
+		Instance: headerServer, Parts: headerParts, Missing: headerMissing,
+	}
+}
+
+// Table reads a configuration in YAML or JSON. The error lists its faults.
+func (Dialect) Table(data []byte) (*route.Table, error) { return table(data) }
+
+// ControlHandler serves operators and backend servers.
+func (Dialect) ControlHandler(co tier.ControlCalls) http.Handler {
+	mx := http.NewServeMux()
+	ch := &controlHandler{co: co}
+	mx.HandleFunc("PUT /configuration", ch.write)
+	mx.HandleFunc("GET /configuration", ch.read)
+	mx.HandleFunc("PUT /servers/{id}", ch.announce)
+	mx.HandleFunc("DELETE /servers/{id}", ch.leave)
+	return mx
+}
+
+// AddressHandler tells callers which entry instances to use.
+func (Dialect) AddressHandler(ad tier.AddressCalls) http.Handler {
+	mx := http.NewServeMux()
+	mx.HandleFunc("GET /addresses", func(wr http.ResponseWriter, rq *http.Request) {
+		qu := rq.URL.Query()
+		list, ttl := ad.Addresses(qu.Get("DataCentre"), qu.Get("Region"))
+		writeJSON(wr, http.StatusOK, addressList{Addresses: list, TTLMillis: ttl.Milliseconds()})
+	})
+	return mx
+}
+
+// ReadyHandler tells whether an entry instance serves callers.
+func (Dialect) ReadyHandler(ready func() bool) http.Handler {
+	mx := http.NewServeMux()
+	mx.HandleFunc("GET /ready", func(wr http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			writeFault(wr, http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		writeJSON(wr, http.StatusOK, struct{}{})
+	})
+	return mx
+}
+
+type addressList struct {
+	Addresses []string
+	TTLMillis int64
+}
+
+type faultAnswer struct {
+	Detail string
+}
+
+// announcement is the body of a backend server's call; its id is in the path.
+type announcement struct {
+	Service    string
+	Address    string
+	DataCentre string
+	Version    string
+	Slots      int
+	State      string // State is Ready or Draining.
+	Sequence   uint64
+	WarmMillis int64
+}
+
+type controlHandler struct {
+	co tier.ControlCalls
+}
+
+func (ch *controlHandler) write(wr http.ResponseWriter, rq *http.Request) {
+	data, ok := ch.body(wr, rq)
+	if !ok {
+		return
+	}
+	tb, err := table(data)
+	if err != nil {
+		writeFault(wr, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := ch.co.Accept(rq.Context(), tb.Version(), data); err != nil {
+		writeFault(wr, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
+
+func (ch *controlHandler) read(wr http.ResponseWriter, rq *http.Request) {
+	_, data, err := ch.co.Newest(rq.Context())
+	if err != nil {
+		writeFault(wr, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	wr.Header().Set("Content-Type", "application/yaml")
+	_, _ = wr.Write(data)
+}
+
+func (ch *controlHandler) announce(wr http.ResponseWriter, rq *http.Request) {
+	data, ok := ch.body(wr, rq)
+	if !ok {
+		return
+	}
+	var an announcement
+	if err := json.Unmarshal(data, &an); err != nil {
+		writeFault(wr, http.StatusBadRequest, err.Error())
+		return
+	}
+	se := registry.Server{
+		ID: rq.PathValue("id"), Service: an.Service, Address: an.Address, DataCentre: an.DataCentre, Version: an.Version,
+		Slots: an.Slots, Sequence: an.Sequence, WarmMillis: an.WarmMillis,
+	}
+	switch an.State {
+	case registry.Ready.String():
+	case registry.Draining.String():
+		se.State = registry.Draining
+	default:
+		writeFault(wr, http.StatusBadRequest, "State: want Ready or Draining")
+		return
+	}
+	ch.co.Announce(se)
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
+
+func (ch *controlHandler) leave(wr http.ResponseWriter, rq *http.Request) {
+	ch.co.Leave(rq.PathValue("id"))
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
+
+func (ch *controlHandler) body(wr http.ResponseWriter, rq *http.Request) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, ch.co.BodyLimit()))
+	var mb *http.MaxBytesError
+	switch {
+	case errors.As(err, &mb):
+		writeFault(wr, http.StatusRequestEntityTooLarge, "body too large")
+	case err != nil:
+		writeFault(wr, http.StatusBadRequest, "body can't be read")
+	}
+	return data, err == nil
+}
+
+func writeFault(wr http.ResponseWriter, status int, detail string) {
+	writeJSON(wr, status, faultAnswer{detail})
+}
+
+func writeJSON(wr http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		wr.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	_, _ = wr.Write(data)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,12 +74,13 @@
 
 	mu      sync.Mutex // mu guards what the shares are made from.
 	servers map[string][]registry.Server
+	limits  map[string]int // limits are how many connections a backend server takes, by service.
 	entries entryCount
 }
 
 // New returns a gateway that refuses all requests until it has a table.
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
-	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker()}
+	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker(), limits: make(map[string]int)}
 	sv.shares.Store(&map[string]int{})
 	sv.started = ts.Now()
 	sv.mt.begin(sv)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -222,7 +222,7 @@
 	if en.rs.Outcome == upstream.NoConnection {
 		cr.retract(en)
 	}
-	if en.rs.Reply != nil && !cr.qu.Has(en.shard) && en.rs.Outcome == upstream.Answered {
+	if !cr.qu.Has(en.shard) && en.rs.Outcome == upstream.Answered && !unsigned(en.rs.Reply) {
 		cr.replies[en.shard] = en.rs.Reply
 	}
 	cr.qu.Replied(cr.ca.sv.ts.Now(), en.shard, cr.ca.reply(en.rs))
@@ -240,6 +240,9 @@
 func (ca *call) reply(rs upstream.Result) scatter.Reply {
 	switch rs.Outcome {
 	case upstream.Answered:
+		if unsigned(rs.Reply) {
+			return scatter.ReplyLost
+		}
 		return ca.answered(rs.Reply.Status)
 	case upstream.NoConnection:
 		return scatter.ReplyBusy
@@ -250,6 +253,12 @@
 	}
 }
 
+// unsigned reports whether a success bears no stamp. Nothing proves that a backend
+// server made it for this request, so it must not be passed on as one.
+func unsigned(rp *upstream.Reply) bool {
+	return rp.Stamp == "" && rp.Status >= 200 && rp.Status < 300
+}
+
 func (ca *call) answered(status int) scatter.Reply {
 	switch {
 	case status >= 200 && status < 300:
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
+	"balsamwinch.example/route"
 	"balsamwinch.example/upstream"
 )
 
@@ -52,21 +54,32 @@
 	targets := make(map[string]upstream.Target)
 	for name, ses := range sv.servers {
 		most := 1
-		if tb != nil {
-			if se, ok := tb.Service(name); ok && se.MaxConnections > 0 {
-				most = max(1, int(part*float64(se.MaxConnections)/float64(entries)))
-			}
+		if limit := sv.limit(tb, name); limit > 0 {
+			most = max(1, int(part*float64(limit)/float64(entries)))
 		}
 		shares[name] = most
 		for _, se := range ses {
 			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Connections: most}
 		}
 	}
+	maps.DeleteFunc(sv.limits, func(name string, _ int) bool { return sv.servers[name] == nil })
 	sv.shares.Store(&shares)
 	sv.re.Limit(shares)
 	sv.up.Retain(targets)
 }
 
+// limit returns how many connections a backend server of a service takes, 0 if
+// that is not known. A service that a new version no longer names keeps its
+// limit: requests that began under the version before still go there.
+func (sv *Server) limit(tb *route.Table, name string) int {
+	if tb != nil {
+		if se, ok := tb.Service(name); ok {
+			sv.limits[name] = se.MaxConnections
+		}
+	}
+	return sv.limits[name]
+}
+
 // connectionPart returns the part of a backend server's connections that is
 // divided at this age of the process.
 func (sv *Server) connectionPart() float64 {
--- a/tier/door.go
+++ b/tier/door.go
@@ -89,11 +89,27 @@
 			}
 			continue
 		}
+		do.give(nc)
+	}
+}
+
+// give hands a connection to the server of the limits in force. If these change
+// at that moment, the next server takes it: the connection was accepted, so
+// closing it would cost its caller a request.
+func (do *door) give(nc net.Conn) {
+	for {
 		do.mu.Lock()
 		in := do.in
 		do.mu.Unlock()
-		if !in.give(nc) {
-			_ = nc.Close()
+		if in.give(nc) {
+			return
+		}
+		do.mu.Lock()
+		same := in == do.in
+		do.mu.Unlock()
+		if same {
+			_ = nc.Close() // The door is closed.
+			return
 		}
 	}
 }
