--- a/cmd/balsamload/main.go
+++ b/cmd/balsamload/main.go
@@ -38,6 +38,9 @@
         send one query and print its answer
   balsamload capacity [-quick] [-json] [-runs N] [-role ROLE] [-sizes A,B,C] [-list] [NAME...]
         measure slopes and print them as a table for docs/CAPACITY.md
+  balsamload routed [-json] FILE
+        run an experiment file of the routed tier in this process and print what
+        was measured
   balsamload help
         print this text
 
@@ -74,6 +77,7 @@
 		"files":    writeFiles,
 		"once":     askOnce,
 		"capacity": measure,
+		"routed":   runRouted,
 	}
 	switch name := args[0]; name {
 	case "help", "-h", "-help", "--help":
--- /dev/null
+++ b/cmd/balsamload/routed.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"balsamwinch.example/emulate/experiment"
+	"balsamwinch.example/timer"
+)
+
+// runRouted is the subcommand routed.
+func runRouted(ctx context.Context, args []string, out, errOut io.Writer) error {
+	fl := flag.NewFlagSet("routed", flag.ContinueOnError)
+	asJSON := fl.Bool("json", false, "print JSON")
+	verbose := fl.Bool("v", false, "log what the tier does to standard error")
+	if err := parse(fl, args, errOut, 1, "routed [FLAGS] FILE"); err != nil {
+		return err
+	}
+	ex, err := experiment.Read(fl.Arg(0))
+	if err != nil {
+		return err
+	}
+	re, err := experiment.Run(ctx, ex, timer.New(), logger(errOut, *verbose))
+	if err != nil {
+		return err
+	}
+	if *asJSON {
+		err = printJSON(out, re)
+	} else {
+		err = re.WriteTable(out)
+	}
+	switch {
+	case err != nil:
+		return err
+	case re.Wrong() > 0:
+		return &verdictError{exitBroken, "an answer was wrong, see above"}
+	case re.Dropped > 0:
+		return &verdictError{exitInvalid, "the load was not that of the file, see above"}
+	default:
+		return nil
+	}
+}
--- a/cmd/balsamwinch/demo.go
+++ b/cmd/balsamwinch/demo.go
@@ -51,11 +51,13 @@
 var demoShardNames = [demoShards]string{"a", "b", "c", "d"}
 
 // demo starts a whole tier with emulated backend servers in this process. With
-// -once it sends one query, prints the answer as JSON and stops.
+// -once it sends one query, prints the answer as JSON and stops. With -routed it is
+// the routed tier.
 func demo(ctx context.Context, args []string, out, errOut io.Writer) error {
 	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
 	fs.SetOutput(errOut)
 	once := fs.Bool("once", false, "send one query, print the answer as JSON and stop")
+	routed := fs.Bool("routed", false, "run the routed tier")
 	verbose := fs.Bool("v", false, "write the instances' logs to standard error")
 	if err := fs.Parse(args); err != nil {
 		return usageOf(err)
@@ -69,6 +71,9 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
+	if *routed {
+		return runRoutedDemo(ctx, folder, *once, out, lg)
+	}
 	return runDemo(ctx, folder, *once, out, lg)
 }
 
--- /dev/null
+++ b/cmd/balsamwinch/demo_routed.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/emulate"
+	"balsamwinch.example/timer"
+)
+
+// The shape of the demo's routed tier.
+const (
+	routedEntries    = 2
+	routedControls   = 3
+	routedRecords    = 4
+	routedTopK       = 5
+	routedHost       = "archivo.example"
+	routedPath       = "/search/curtains"
+	routedTimeout    = time.Second
+	routedStopWithin = 2 * time.Second
+)
+
+// routedAnswer is the merged answer that the demo prints.
+type routedAnswer struct {
+	Status  int
+	Records []string // Records are the greatest of all shards, the greatest first.
+	Stamps  []string // Stamps name the backend server that answered for each shard.
+	Missing int      // Missing counts the shards that are left out.
+}
+
+// runRoutedDemo starts a routed tier with emulated backend servers, sends a query
+// that is merged from all shards, prints the answer, and serves on unless once is
+// set.
+func runRoutedDemo(ctx context.Context, folder string, once bool, out io.Writer, lg *zap.Logger) error {
+	ts := timer.New()
+	ready, cancel := context.WithTimeout(ctx, demoReady)
+	defer cancel()
+	lo, err := emulate.StartLocal(ready, emulate.LocalConfig{
+		Entries: routedEntries, Controls: routedControls, Folder: folder, StopWithin: routedStopWithin,
+		DataCentres: []string{"miraflores", "surquillo", "san-isidro"},
+	}, ts, lg)
+	if err != nil {
+		return err
+	}
+	ss, err := emulate.StartServers(routedServers(), lo.Control(), ts, lg)
+	if err != nil {
+		return errors.Join(err, lo.Close())
+	}
+	defer ss.Close()
+	err = lo.Configure(ready, routedConfiguration())
+	if err == nil {
+		err = serveRouted(ctx, ready, lo, ss, ts, once, out)
+	}
+	return errors.Join(err, lo.Close())
+}
+
+// routedServers returns two backend servers for each shard.
+func routedServers() []emulate.Config {
+	var cfs []emulate.Config
+	for _, sh := range demoShardNames {
+		for nth := range demoReplicas {
+			cfs = append(cfs, emulate.Config{
+				ID: fmt.Sprintf("%s-%d", sh, nth+1), Service: sh, DataCentre: "miraflores", Slots: 6, Queue: 6, Connections: 110,
+				Work: emulate.Work{Median: 5 * time.Millisecond, Sigma: 0.3}, Records: routedRecords, ReportLoad: true,
+				Announcement: 300 * time.Millisecond, Seed: uint64(len(cfs)),
+			})
+		}
+	}
+	return cfs
+}
+
+func routedConfiguration() emulate.Configuration {
+	cf := emulate.Configuration{
+		Version: 1,
+		Routes: []emulate.Route{{
+			Name: "search", Host: routedHost, Prefix: "/search/", Kind: "Repeatable", Timeout: routedTimeout, Aim: 200 * time.Millisecond,
+			MaxAttempts: 3, Shards: demoShardNames[:], TopK: routedTopK, LeastShare: 0.5,
+		}},
+		Limits: emulate.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second},
+	}
+	for _, sh := range demoShardNames {
+		cf.Services = append(cf.Services, emulate.Service{Name: sh, HealthPath: emulate.HealthPath, Connections: 110})
+	}
+	return cf
+}
+
+// serveRouted asks until all shards answer, prints that answer, and serves on.
+func serveRouted(ctx, ready context.Context, lo *emulate.Local, ss *emulate.Servers, ts *timer.Service, once bool, out io.Writer) error {
+	ca := emulate.NewCaller()
+	defer ca.Close()
+	address := lo.Callers()[0]
+	an, err := ca.Await(ready, ts, address,
+		emulate.Question{ID: "demo", Host: routedHost, Path: routedPath, Timeout: routedTimeout},
+		emulate.Expectation{Services: demoShardNames[:], Service: ss.Service, Records: routedRecords, TopK: routedTopK})
+	if err != nil {
+		return err
+	}
+	if err := printRouted(an, out); err != nil || once {
+		return err
+	}
+	fmt.Fprintf(out, "The routed tier serves: %d entry instances, %d control instances, %d backend servers.\n", routedEntries, routedControls, len(ss.All()))
+	fmt.Fprintf(out, "Ask which entry instances to use:\n  curl 'http://%s/addresses?DataCentre=miraflores'\n", lo.Addresses()[0])
+	fmt.Fprintf(out, "Send a query:\n  curl -i -H 'Host: %s' -H 'Request-Id: 1' http://%s%s --output -\n", routedHost, address, routedPath)
+	fmt.Fprintf(out, "See the configuration:\n  curl http://%s/configuration\n", lo.Control()[0])
+	fmt.Fprintln(out, "Press Ctrl-C to stop.")
+	<-ctx.Done()
+	return nil
+}
+
+func printRouted(an emulate.Answer, out io.Writer) error {
+	ra := routedAnswer{Status: an.Status, Stamps: an.Stamps, Missing: an.Missing}
+	for body := an.Body; len(body) >= emulate.RecordBytes; body = body[emulate.RecordBytes:] {
+		ra.Records = append(ra.Records, fmt.Sprintf("%x", body[:emulate.RecordBytes]))
+	}
+	en := json.NewEncoder(out)
+	en.SetIndent("", "  ")
+	return en.Encode(ra)
+}
--- /dev/null
+++ b/emulate/local.go
@@ -0,0 +1,290 @@
+package emulate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/result"
+	"balsamwinch.example/tier"
+	"balsamwinch.example/timer"
+)
+
+// LocalConfig describes a tier in this process.
+type LocalConfig struct {
+	Entries     int      // Entries is how many entry instances there are.
+	Controls    int      // Controls is how many control instances there are.
+	DataCentres []string // DataCentres are filled in turn.
+	Folder      string   // Folder gets a data folder for each control instance.
+	StopWithin  time.Duration
+}
+
+// Local is a tier in this process, each instance at a loopback address of its
+// own. The garbage collector and the memory limit are set for all of them
+// together, and they share the processors; what one costs can't be told apart.
+type Local struct {
+	ts        *timer.Service
+	instances []*localInstance
+}
+
+// localInstance is one instance of a Local.
+type localInstance struct {
+	se   tier.Settings
+	stop context.CancelFunc
+	done chan struct{} // done is closed when the instance has ended.
+	err  error         // err is how it ended; to be read after done.
+}
+
+const (
+	// localTries bounds the tries to find addresses that are still free when the
+	// instances open them.
+	localTries = 5
+	// localMegabytes is the memory limit of the whole process.
+	localMegabytes = 4096
+	// localPoll is how often is looked whether something has come about.
+	localPoll      = 20 * time.Millisecond
+	localSilence   = 200 * time.Millisecond
+	localHostCount = 250
+)
+
+// StartLocal starts the instances and returns once all listen. The loopback
+// addresses 127.x.y.z must be usable without being set up, as on Linux.
+func StartLocal(ctx context.Context, cf LocalConfig, ts *timer.Service, lg *zap.Logger) (*Local, error) {
+	if cf.Entries < 1 || cf.Controls < 1 || cf.Entries+cf.Controls > localHostCount || len(cf.DataCentres) == 0 {
+		return nil, &result.Error{Code: result.BadSettings, Op: "start a local tier", Detail: fmt.Sprintf("want at least one instance of each role, %d at most, and a data centre", localHostCount)}
+	}
+	var last error
+	for try := range localTries {
+		ses, err := cf.settings(filepath.Join(cf.Folder, strconv.Itoa(try)))
+		if err != nil {
+			return nil, err
+		}
+		lo := &Local{ts: ts}
+		for _, se := range ses {
+			lo.start(se, lg)
+		}
+		if last = lo.await(ctx, (*localInstance).listens); last == nil {
+			return lo, nil
+		}
+		last = errors.Join(last, lo.Close())
+		// Another process may have taken a port between its choice and its use.
+		var re *result.Error
+		if ctx.Err() != nil || !errors.As(last, &re) || re.Op != "listen" {
+			break
+		}
+	}
+	return nil, last
+}
+
+// settings returns those of all instances, with ports that were free a moment ago.
+func (cf LocalConfig) settings(folder string) ([]tier.Settings, error) {
+	network := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
+	ips := make([]string, cf.Controls+cf.Entries)
+	for ix := range ips {
+		ips[ix] = network + strconv.Itoa(1+ix)
+	}
+	var ho holder
+	defer ho.release()
+	port, err := ho.common(ips)
+	if err != nil {
+		return nil, err
+	}
+	var ses []tier.Settings
+	var seeds []string
+	for ix, ip := range ips {
+		se := tier.Defaults()
+		se.DataCentre, se.Address, se.LinkPort = cf.DataCentres[ix%len(cf.DataCentres)], ip, port
+		se.FirstStart = true
+		se.Limits.MemoryMegabytes = localMegabytes
+		if cf.StopWithin > 0 {
+			se.Timing.StopWithin = cf.StopWithin
+		}
+		one, two := ho.hold(ip), ho.hold(ip)
+		if ix < cf.Controls {
+			se.Name = fmt.Sprintf("control-%d", ix+1)
+			se.DataFolder = filepath.Join(folder, se.Name)
+			se.Listen = tier.Listen{Control: one, Addresses: two}
+			seeds = append(seeds, one)
+		} else {
+			se.Name = fmt.Sprintf("entry-%d", ix-cf.Controls+1)
+			se.Listen = tier.Listen{Callers: one, Ready: two}
+		}
+		ses = append(ses, se)
+	}
+	for ix := range ses {
+		ses[ix].Seeds = seeds
+		if err := errors.Join(ho.err, ses[ix].Check()); err != nil {
+			return nil, err
+		}
+	}
+	return ses, nil
+}
+
+// holder holds ports, so that no two of them are alike, until all are chosen.
+type holder struct {
+	lis []net.Listener
+	err error
+}
+
+func (ho *holder) hold(ip string) string {
+	li, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		ho.err = err
+		return ""
+	}
+	ho.lis = append(ho.lis, li)
+	return li.Addr().String()
+}
+
+// common holds one port that is free at all addresses.
+func (ho *holder) common(ips []string) (int, error) {
+	var last error
+	for range localTries * len(ips) {
+		_, port, err := net.SplitHostPort(ho.hold(ips[0]))
+		if err != nil {
+			return 0, ho.err
+		}
+		last = nil
+		for _, ip := range ips[1:] {
+			li, err := net.Listen("tcp4", net.JoinHostPort(ip, port))
+			if err != nil {
+				last = err
+				break
+			}
+			ho.lis = append(ho.lis, li)
+		}
+		if last == nil {
+			return strconv.Atoi(port)
+		}
+	}
+	return 0, last
+}
+
+func (ho *holder) release() {
+	for _, li := range ho.lis {
+		_ = li.Close()
+	}
+}
+
+func (lo *Local) start(se tier.Settings, lg *zap.Logger) {
+	ctx, stop := context.WithCancel(context.Background())
+	in := &localInstance{se: se, stop: stop, done: make(chan struct{})}
+	lo.instances = append(lo.instances, in)
+	go func() {
+		defer close(in.done)
+		in.err = tier.Run(ctx, se, nil, Dialect{}, lg.Named(se.Name))
+	}()
+}
+
+// listens reports whether the instance answers.
+func (in *localInstance) listens(ctx context.Context) bool {
+	address := in.se.Listen.Addresses
+	if in.se.Entry() {
+		address = in.se.Listen.Ready
+	}
+	return statusOf(ctx, address) != 0
+}
+
+// ready reports whether the instance serves callers, if it is there for them.
+func (in *localInstance) ready(ctx context.Context) bool {
+	return !in.se.Entry() || statusOf(ctx, in.se.Listen.Ready) == http.StatusOK
+}
+
+// statusOf returns the status that GET /ready is answered with; 0 for no answer.
+func statusOf(ctx context.Context, address string) int {
+	ctx, cancel := context.WithTimeout(ctx, localSilence)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+	if err != nil {
+		return 0
+	}
+	rq.Close = true
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return 0
+	}
+	_ = rs.Body.Close()
+	return rs.StatusCode
+}
+
+// await waits until something holds at all instances. An instance that ends is
+// an error.
+func (lo *Local) await(ctx context.Context, holds func(*localInstance, context.Context) bool) error {
+	for _, in := range lo.instances {
+		for !holds(in, ctx) {
+			select {
+			case <-in.done:
+				return errors.Join(in.err, fmt.Errorf("%s has ended", in.se.Name))
+			default:
+			}
+			if err := lo.ts.Sleep(ctx, localPoll); err != nil {
+				return fmt.Errorf("wait for %s: %w", in.se.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// Configure has a configuration accepted, and waits until every entry instance
+// serves.
+func (lo *Local) Configure(ctx context.Context, cf Configuration) error {
+	co := NewControl(lo.Control())
+	defer co.Close()
+	for {
+		err := co.Configure(ctx, cf.Encode())
+		var re *result.Error
+		if err == nil || errors.As(err, &re) && re.Code == result.NotRunBadRequest {
+			return errors.Join(err, lo.await(ctx, (*localInstance).ready))
+		}
+		if lo.ts.Sleep(ctx, localPoll) != nil {
+			return err
+		}
+	}
+}
+
+// Callers returns where the entry instances take requests.
+func (lo *Local) Callers() []string {
+	return lo.addresses(func(li tier.Listen) string { return li.Callers })
+}
+
+// Control returns where the control instances take the calls of operators and
+// backend servers.
+func (lo *Local) Control() []string {
+	return lo.addresses(func(li tier.Listen) string { return li.Control })
+}
+
+// Addresses returns where control instances tell which entry instances to use.
+func (lo *Local) Addresses() []string {
+	return lo.addresses(func(li tier.Listen) string { return li.Addresses })
+}
+
+func (lo *Local) addresses(of func(tier.Listen) string) []string {
+	var out []string
+	for _, in := range lo.instances {
+		if ad := of(in.se.Listen); ad != "" {
+			out = append(out, ad)
+		}
+	}
+	return out
+}
+
+// Close stops all instances at once and waits for their end.
+func (lo *Local) Close() error {
+	var errs []error
+	for _, in := range lo.instances {
+		in.stop()
+	}
+	for _, in := range lo.instances {
+		<-in.done
+		errs = append(errs, in.err)
+	}
+	return errors.Join(errs...)
+}
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -195,17 +195,20 @@
 // A backend server's answer comes late, when its caller has gone, or comes twice.
 // The next caller whose request goes out on that connection must not get it.
 func TestAnswerOfAnother(t *testing.T) {
+	const count = 30
 	for _, ac := range []act{chatty, double} {
 		rg := newRig(t, loopback{}, setup{})
-		rg.serve("s", 1, ac)
+		be := rg.serve("s", 1, ac)[0]
 		rg.table(route.Route{Prefix: "/", Kind: route.NotRepeatable, Targets: to("s")})
 		seen := make(map[string]bool)
-		for range 30 {
+		for range count {
 			an := rg.get("/a", http.StatusOK)
 			stamp := an.header.Get(names.Stamp)
 			qt.Assert(t, seen[stamp], qt.IsFalse)
 			seen[stamp] = true
 		}
+		opened, _, _ := be.connections()
+		qt.Assert(t, opened, qt.Equals, count, qt.Commentf("a connection with extra bytes was used again"))
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -33,6 +33,7 @@
 	shard  int
 	number int // number is that of its note.
 	pk     replica.Pick
+	spent  time.Time // spent is when the retry budget was charged for it; zero if it wasn't.
 }
 
 // carrier carries out one query.
@@ -116,7 +117,11 @@
 		cr.qu.Denied(now, wa.Shard, ca, now.Add(pause))
 		return
 	}
-	if cr.costs(wa) && !sv.bu.Spend(now, service, keep(wa.Kind)) {
+	var spent time.Time
+	if cr.costs(wa) {
+		spent = now
+	}
+	if !spent.IsZero() && !sv.bu.Spend(now, service, keep(wa.Kind)) {
 		sv.re.Done(now, pk, replica.Report{Kind: replica.Canceled})
 		cr.denied(service)
 		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
@@ -136,7 +141,7 @@
 		hedgeAt = now.Add(sv.re.HedgeAfter(now, as, pk))
 	}
 	cr.qu.Asked(wa.Shard, hedgeAt)
-	go cr.exchange(ctx, attempt{shard: wa.Shard, number: cr.began(now, wa, pk.Server.ID), pk: pk})
+	go cr.exchange(ctx, attempt{shard: wa.Shard, number: cr.began(now, wa, pk.Server.ID), pk: pk, spent: spent})
 }
 
 // nobody says why no backend server of a service could be chosen.
@@ -166,7 +171,11 @@
 	sv := cr.ca.sv
 	se := at.pk.Server
 	rs := sv.up.Do(ctx, sv.target(se.Service, se.ID, se.Address), cr.rq)
-	sv.re.Done(sv.ts.Now(), at.pk, report(ctx, rs))
+	now := sv.ts.Now()
+	sv.re.Done(now, at.pk, report(ctx, rs))
+	if !at.spent.IsZero() && !arrives(rs) {
+		sv.bu.Return(now, at.spent, se.Service)
+	}
 	sv.mt.ended(ctx, cr.services[at.shard], rs)
 	select {
 	case cr.ends <- ended{at.shard, at.number, rs}:
@@ -174,6 +183,11 @@
 	}
 }
 
+// arrives reports whether a request may have reached its backend server.
+func arrives(rs upstream.Result) bool {
+	return rs.Outcome != upstream.NotSent && rs.Outcome != upstream.NoConnection
+}
+
 // report says what an exchange tells about its backend server.
 func report(ctx context.Context, rs upstream.Result) replica.Report {
 	re := replica.Report{}
@@ -216,7 +230,7 @@
 // ended gives the end of an attempt to the query.
 func (cr *carrier) ended(en ended) {
 	cr.over(cr.ca.sv.ts.Now(), en.number, en.rs)
-	if en.rs.Outcome != upstream.NotSent && en.rs.Outcome != upstream.NoConnection {
+	if arrives(en.rs) {
 		cr.arrived[en.shard] = true
 	}
 	if en.rs.Outcome == upstream.NoConnection {
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"balsamwinch.example/registry"
 )
 
 const (
@@ -17,19 +19,53 @@
 	// fewFailures is the share of failures up to which a server is preferred for
 	// being near.
 	fewFailures = 0.1
-	// probeShare is the share of requests that probe a server believed slow.
-	probeShare = 0.02
-	// returnShare is that share after such a server has answered quickly.
-	returnShare = 0.2
-	// slowFactor is the slowness beyond which a server is only probed, and its
-	// requests are hedged sooner.
+	// slowFactor is the slowness from which a server counts as slow: its requests
+	// are hedged sooner.
 	slowFactor = 2.0
+	// probeShare is the share of requests that probe a slow server, and
+	// returnShare the one after it has answered quickly.
+	probeShare  = 0.02
+	returnShare = 0.2
 )
 
+// Ask is what a server is wanted for.
+type Ask struct {
+	Service string
+	// Work names requests that cost alike, of whatever service.
+	Work string
+	// Avoid are the ids that were asked for this request before. A request with
+	// one or more of them is a hedge, or sent once more.
+	Avoid []string
+	// Sure says that the request must not probe a server that failed or was slow,
+	// for instance because it can't be sent again.
+	Sure bool
+}
+
+// Pick is a chosen server and a request in flight to it, until Done.
+type Pick struct {
+	Server registry.Server
+	// Doubtful says that the server is suspect or set aside: it is probed, or no
+	// better one is left. A hedge there is hardly worth its cost.
+	Doubtful bool
+
+	se     *server
+	number uint64
+}
+
+// candidate is a server that may be chosen now.
+type candidate struct {
+	se       *server
+	standing standing
+	expected float64
+	own      bool    // own says that it is of the own data centre.
+	handicap float64 // handicap divides the expected time against the best one.
+}
+
 // Choose returns the ready server that is expected to answer soonest, at random
-// among near equals, and counts a request to it as in flight. Suspect servers
-// come after all others, those set aside last; a server that was set aside or
-// is believed slow gets a single request now and then that shows how it does.
+// among near equals, of which those in the own data centre go first, and counts
+// a request to it as in flight. Suspect servers come after all others, those
+// set aside last. A server that was set aside gets a single request at the end
+// of that time, and a slow one a request now and then, to show how it does.
 // Choose returns false only when no ready server is left that isn't avoided and
 // has fewer requests in flight than the limit.
 func (tb *Table) Choose(now time.Time, as Ask) (Pick, bool) {
@@ -37,17 +73,37 @@
 	defer tb.mu.Unlock()
 	at := tb.at(now)
 	wo := tb.work(at, as.Work)
-	typical := wo.typical()
-	se := tb.probe(at, as)
-	if se == nil {
-		se = tb.best(at, as, typical)
-	}
-	if se == nil {
+	cas := tb.rate(at, as, wo)
+	if len(cas) == 0 {
 		return Pick{}, false
 	}
-	doubtful := se.standing(at) != sound
-	expected := time.Duration(se.factor(at) * float64(typical))
-	return Pick{Server: se.record, Doubtful: doubtful, se: se, number: se.take(at, wo, expected)}, true
+	ca, ok := tb.probe(at, as, cas)
+	if !ok {
+		ca = tb.best(cas)
+	}
+	return Pick{
+		Server: ca.se.record, Doubtful: ca.standing != sound, se: ca.se, number: ca.se.take(at, wo),
+	}, true
+}
+
+// rate returns the servers that may be chosen. They are overwritten by the
+// next call.
+func (tb *Table) rate(at time.Duration, as Ask, wo *work) []candidate {
+	cas := tb.candidates[:0]
+	hedge := len(as.Avoid) > 0
+	for _, se := range tb.services[as.Service] {
+		if !tb.usable(se, as) {
+			continue
+		}
+		ca := candidate{se: se, standing: se.standing(at), expected: se.expected(at, wo.typical(), hedge), handicap: 1}
+		ca.own = tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
+		if ca.own && se.reliable(at) {
+			ca.handicap = ownFactor
+		}
+		cas = append(cas, ca)
+	}
+	tb.candidates = cas
+	return cas
 }
 
 // usable reports whether the server may be chosen at all.
@@ -62,135 +118,108 @@
 	return !se.moved && !slices.Contains(as.Avoid, se.record.ID)
 }
 
-// probe returns a server that is due for a probe; nil if there is none, or if
-// the request is not fit for one.
-func (tb *Table) probe(at time.Duration, as Ask) *server {
+// reliable reports whether the server hardly fails or refuses at the moment. One
+// that does costs retries, which are scarcer than bytes between data centres.
+func (se *server) reliable(at time.Duration) bool {
+	return se.failures*se.fade(at) < fewFailures
+}
+
+// probe returns a server that should be probed by the request, if there is one
+// and the request is fit for it: the first of its kind, while another server is
+// there to be asked in its place.
+func (tb *Table) probe(at time.Duration, as Ask, cas []candidate) (candidate, bool) {
 	if as.Sure || len(as.Avoid) > 0 {
-		return nil
+		return candidate{}, false
 	}
-	servers := tb.services[as.Service]
-	sure := 0
-	for _, se := range servers {
-		if tb.usable(se, as) && se.standing(at) == sound {
-			sure++
+	good := 0
+	for _, ca := range cas {
+		if ca.standing == sound {
+			good++
 		}
 	}
-	if sure == 0 {
-		return nil
-	}
-	for _, se := range servers {
-		if !tb.usable(se, as) || len(se.flights) > 0 {
-			continue
-		}
-		switch se.standing(at) {
-		case due:
-			return se
-		case sound:
-			if sure > 1 && tb.curious(at, se) {
-				return se
-			}
+	for _, ca := range cas {
+		switch {
+		case ca.standing == due && good > 0:
+			return ca, true
+		case ca.standing == sound && good > 1 && len(ca.se.flights) == 0 && tb.curious(at, ca.se):
+			return ca, true
 		}
 	}
-	return nil
+	return candidate{}, false
 }
 
-// curious reports, at random, whether a server that is believed slow should be
-// asked to show how it does.
+// curious reports, at random, whether a slow server should show how it does.
 func (tb *Table) curious(at time.Duration, se *server) bool {
 	if se.factor(at) < slowFactor {
 		return false
 	}
-	share := probeShare
 	if se.quick {
-		share = returnShare
+		return tb.rn.Float64() < returnShare
 	}
-	return tb.rn.Float64() < share
+	return tb.rn.Float64() < probeShare
 }
 
-// best returns the server with the best standing that is expected to answer
-// soonest; nil if there is none.
-func (tb *Table) best(at time.Duration, as Ask, typical time.Duration) *server {
-	var best *server
-	var least float64
-	class := due
-	for _, se := range tb.services[as.Service] {
-		if !tb.usable(se, as) {
-			continue
+// best returns one of the candidates that have the best standing and are
+// expected to answer soonest.
+func (tb *Table) best(cas []candidate) candidate {
+	first := cas[0]
+	for _, ca := range cas[1:] {
+		if ca.rank() < first.rank() || ca.rank() == first.rank() && ca.expected < first.expected {
+			first = ca
 		}
-		time, sd := se.expected(at, typical)
-		time *= se.stale(at, len(as.Avoid) > 0)
-		sd = min(sd, shunned)
-		if best == nil || sd < class || sd == class && time < least {
-			best, least, class = se, time, sd
-		}
-	}
-	if best == nil {
-		return nil
 	}
-	return tb.among(at, as, typical, least*nearTie, class)
-}
-
-// among returns one of the servers of a standing that are expected to answer
-// within the given time, at random, and one of the own data centre if any is.
-func (tb *Table) among(at time.Duration, as Ask, typical time.Duration, most float64, class standing) *server {
-	var chosen *server
-	count, near := 0, false
-	for _, se := range tb.services[as.Service] {
-		if !tb.usable(se, as) {
+	chosen, count, near := first, 0, false
+	for _, ca := range cas {
+		if ca.rank() != first.rank() || ca.expected/ca.handicap > nearTie*first.expected {
 			continue
 		}
-		time, sd := se.expected(at, typical)
-		time *= se.stale(at, len(as.Avoid) > 0)
-		own := tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
-		if own && se.reliable(at) {
-			time /= ownFactor
+		if ca.own && !near {
+			count, near = 0, true
 		}
-		if min(sd, shunned) != class || time > most {
+		if ca.own != near {
 			continue
 		}
-		switch {
-		case own && !near:
-			chosen, count, near = se, 1, true
-		case own == near:
-			count++
-			if tb.rn.IntN(count) == 0 {
-				chosen = se
-			}
+		count++
+		if tb.rn.IntN(count) == 0 {
+			chosen = ca
 		}
 	}
 	return chosen
 }
 
-// reliable reports whether the server hardly fails or refuses at the moment. One
-// that does costs retries, which are scarcer than bytes between data centres.
-func (se *server) reliable(at time.Duration) bool {
-	return se.failures*se.fade(at) < fewFailures
-}
+// rank returns the standing with which a candidate is compared: one that is due
+// for a probe is no better than others that were set aside.
+func (ca candidate) rank() standing { return min(ca.standing, shunned) }
 
 // HedgeAfter returns the time from a request's start after which another server
-// should be asked too: the latency that a HedgeShare of the requests of its
-// work exceed, and the median if the server is believed to be slow, suspect or
-// set aside at this moment while another one is sound.
+// should be asked too: the latency that HedgeShare of the requests of its work
+// exceed. It is at most the median while the server of the pick is slow or
+// doubtful and another one isn't. While little is known it is three times the
+// median, or 50 ms.
 func (tb *Table) HedgeAfter(now time.Time, as Ask, pk Pick) time.Duration {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	at := tb.at(now)
 	wo := tb.work(at, as.Work)
-	delay, typical := wo.delay(at), wo.typical()
-	if pk.se == nil || !tb.better(at, as, pk.se) {
-		return delay
+	delay := wo.delay(at)
+	if pk.se != nil && tb.outdone(at, as, pk) {
+		return min(delay, wo.typical())
 	}
-	return min(delay, typical)
+	return delay
 }
 
-// better reports whether the server is poor and another one is sound.
-func (tb *Table) better(at time.Duration, as Ask, poor *server) bool {
-	factor := poor.factor(at)
-	if factor < slowFactor && poor.standing(at) == sound {
+// outdone reports whether the server of the pick is slow or doubtful and another
+// one is neither, or twice as quick.
+func (tb *Table) outdone(at time.Duration, as Ask, pk Pick) bool {
+	factor := pk.se.factor(at)
+	if !pk.Doubtful && factor < slowFactor && pk.se.standing(at) == sound {
 		return false
 	}
 	for _, se := range tb.services[as.Service] {
-		if se != poor && tb.usable(se, as) && se.standing(at) == sound && slowFactor*se.factor(at) < max(factor, slowFactor+1) {
+		if se == pk.se || !tb.usable(se, as) || se.standing(at) != sound {
+			continue
+		}
+		if ot := se.factor(at); ot < slowFactor || slowFactor*ot < factor {
 			return true
 		}
 	}
--- a/replica/server.go
+++ b/replica/server.go
@@ -8,39 +8,47 @@
 )
 
 const (
-	// usualGain and jumpGain are the weights of a new latency in the slowness, in
-	// the logarithm; jumpGain is for one beyond jump times the learned value,
-	// either way, so that two or three answers show a server that turned slow.
+	// usualGain is the weight of a new latency in the logarithm of the slowness.
+	// One that is off by the factor jump, either way, weighs jumpGain, so that a
+	// server that turned slow is left after two or three answers.
 	usualGain = 0.12
 	jumpGain  = 0.4
 	jump      = 2.0
 	// mostRatio bounds one latency against the median of its work.
 	mostRatio = 20.0
 	// forgetSlow is the time in which the logarithm of the slowness, and the
-	// share of failures, fall to a third while nothing is heard of the server.
+	// share of failures, fall to 1/e while nothing is heard of the server.
 	forgetSlow = 5 * time.Second
-	// warmSlow is the slowness from which a server that has just started is known.
+	// warmSlow is the slowness that a server is thought to have when it has just
+	// started.
 	warmSlow = 1.5
 	// failureGain is the weight of a new outcome in the share of failures, and
-	// failureCost how many expected times one failure is worth.
+	// failureCost how many expected times a failure is worth.
 	failureGain = 0.25
 	failureCost = 4.0
-	// failedRun is how many failures in a row set a server aside; refusals and
-	// broken connections do so at the first one.
+	// failedRun is how many failures in a row set a server aside; a refusal or a
+	// failed connection does at once.
 	failedRun = 2
 	// leastAside and mostAside bound for how long a server is set aside.
 	leastAside = 100 * time.Millisecond
 	mostAside  = 2 * time.Second
-	// silentAside is for how long a server that let a request wait in vain counts
-	// as suspect: about what is left of a pause when it is noticed.
-	silentAside = 150 * time.Millisecond
+	// leastDoubt is for how long a server that let a request wait in vain is
+	// suspect, at the first time. Most of them only pause.
+	leastDoubt = 100 * time.Millisecond
 	// loadFresh is how long a reported load is of any use; it counts for less
 	// with every moment.
 	loadFresh = time.Second
 	// usualPace is the reported pace at which work takes as long as usual.
-	usualPace = 100
+	usualPace = 100.0
+	// staleSpan is how long a server must not have answered to count as
+	// staleCost worse for a hedge: it may have begun to pause since.
+	staleSpan = 150 * time.Millisecond
+	staleCost = 1.0
 )
 
+// never is the time of what has not happened.
+const never = time.Duration(math.MinInt64 / 2)
+
 // server is what is known of one backend server.
 type server struct {
 	record  registry.Server
@@ -49,19 +57,22 @@
 	flown   uint64 // flown counts the requests sent.
 
 	slowness float64       // slowness is the logarithm of its latency against the median.
-	heard    time.Duration // heard is when the last latency came, answered that or the last failure.
-	answered time.Duration // answered is when the last answer came; negative for never.
+	quick    bool          // quick says that the last answer was no slower than usual.
 	failures float64       // failures is the decaying share of failures.
+	renewed  time.Duration // renewed is when slowness and failures were brought up to date.
+	answered time.Duration // answered is when the last answer came.
+
 	run      int           // run counts the failures in a row.
-	silences int           // silences counts the requests in a row that waited in vain.
-	quick    bool          // quick says that the last answer was no slower than usual.
-	aside    time.Duration // aside is until when the server is set aside.
 	proving  bool          // proving says that it was set aside and has not served since.
-	doubted  time.Duration // doubted is until when it is suspect.
-	late     int           // late counts the overdue requests in flight.
+	since    time.Duration // since is when it was last set aside.
+	aside    time.Duration // aside is until when.
+	blamed   int           // blamed counts the flights that make it suspect.
+	silences int           // silences counts the requests in a row that waited in vain.
+	silent   time.Duration // silent is when the last one of them ended.
+	doubted  time.Duration // doubted is until when it is suspect for them.
 
-	running, waiting, slots, pace int
-	loaded                        time.Duration // loaded is when the load was reported; negative for never.
+	waiting, slots, pace int           // These are as reported.
+	loaded               time.Duration // loaded is when they were.
 }
 
 // flight is a request on its way.
@@ -70,11 +81,12 @@
 	start   time.Duration
 	work    *work
 	typical time.Duration // typical is how long it was expected to take.
-	overdue bool
+	overdue bool          // overdue says that it passed its hedge time.
+	blamed  bool          // blamed says so too, while the server has not answered since.
 }
 
 func newServer(at time.Duration, re registry.Server) *server {
-	se := &server{record: re, heard: at, answered: -1, loaded: -1}
+	se := &server{record: re, renewed: at, answered: never, silent: never, doubted: never, loaded: never}
 	if re.WarmMillis > 0 {
 		se.slowness = math.Log(warmSlow)
 	}
@@ -82,38 +94,53 @@
 }
 
 // take notes a request that is sent now and returns its number.
-func (se *server) take(at time.Duration, wo *work, typical time.Duration) uint64 {
+func (se *server) take(at time.Duration, wo *work) uint64 {
+	typical := time.Duration(se.factor(at) * float64(wo.typical()))
 	se.flown++
-	se.flights = append(se.flights, flight{number: se.flown, start: at, work: wo, typical: typical})
+	se.flights = append(se.flights, flight{number: se.flown, start: at, work: wo, typical: max(typical, 1)})
 	return se.flown
 }
 
-// flight returns the index of a request in flight; negative if it has ended.
-func (se *server) flight(number uint64) int {
+// find returns a request in flight; nil if it has ended.
+func (se *server) find(number uint64) *flight {
 	for ix := range se.flights {
 		if se.flights[ix].number == number {
-			return ix
+			return &se.flights[ix]
 		}
 	}
-	return -1
+	return nil
 }
 
 // land removes a request in flight.
-func (se *server) land(ix int) flight {
-	fl := se.flights[ix]
+func (se *server) land(fl *flight) {
+	if fl.blamed {
+		se.blamed--
+	}
 	last := len(se.flights) - 1
-	se.flights[ix] = se.flights[last]
+	*fl = se.flights[last]
 	se.flights[last] = flight{}
 	se.flights = se.flights[:last]
-	if fl.overdue {
-		se.late--
+}
+
+// blame makes the server suspect for a request that is overdue.
+func (se *server) blame(fl *flight) {
+	if !fl.overdue {
+		fl.overdue, fl.blamed = true, true
+		se.blamed++
+	}
+}
+
+// clear takes the blame off all requests in flight.
+func (se *server) clear() {
+	se.blamed = 0
+	for ix := range se.flights {
+		se.flights[ix].blamed = false
 	}
-	return fl
 }
 
-// fade returns what is left of a belief that was last renewed at heard.
+// fade returns what is left of the slowness and the failures.
 func (se *server) fade(at time.Duration) float64 {
-	return math.Exp(-float64(at-se.heard) / float64(forgetSlow))
+	return math.Exp(-float64(at-se.renewed) / float64(forgetSlow))
 }
 
 // factor returns how many times longer than usual the server takes.
@@ -121,16 +148,16 @@
 	return math.Exp(se.slowness * se.fade(at))
 }
 
-// renew brings the beliefs to the present, before news change them.
+// renew brings the slowness and the failures up to date, before news.
 func (se *server) renew(at time.Duration) {
 	left := se.fade(at)
 	se.slowness *= left
 	se.failures *= left
-	se.heard = at
+	se.renewed = at
 }
 
-// learn takes in how long a request took against the median of its work. An
-// early latency, of a request that was given up, is less than the real one and
+// learn takes in how long a request took against the median of its work. The
+// latency of a request that was given up early is less than the real one and
 // can only raise the slowness.
 func (se *server) learn(latency, typical time.Duration, early bool) {
 	ratio := float64(latency) / float64(max(typical, 1))
@@ -139,6 +166,7 @@
 	if early && step <= 0 {
 		return
 	}
+	se.quick = ratio < jump
 	gain := usualGain
 	if math.Abs(step) > math.Log(jump) {
 		gain = jumpGain
@@ -146,39 +174,43 @@
 	se.slowness += gain * step
 }
 
-// served notes that the server has answered.
-func (se *server) served(at time.Duration) {
+// serve notes that the server has answered.
+func (se *server) serve(at time.Duration) {
 	se.failures -= failureGain * se.failures
 	se.run, se.silences = 0, 0
-	se.proving, se.doubted = false, 0
+	se.proving, se.doubted = false, never
 	se.answered = at
-	for ix := range se.flights {
-		se.flights[ix].overdue = false
-	}
-	se.late = 0
+	se.clear()
 }
 
-// failed notes a failure; a hard one sets the server aside at once.
-func (se *server) failed(at time.Duration, hard bool) {
+// fail notes the failure of a request that began at start. Requests that were
+// in flight together when the server fell ill count once: one crash must not
+// set it aside for as long as many failed probes.
+func (se *server) fail(at, start time.Duration, need int) {
 	se.failures += failureGain * (1 - se.failures)
-	se.run++
-	need := failedRun
-	if hard || se.proving {
-		need = 1
+	if se.proving && start <= se.since {
+		return
 	}
-	if se.run >= need {
-		se.proving = true
-		se.aside = at + grown(leastAside, se.run-need)
+	se.run++
+	if se.run < need && !se.proving {
+		return
 	}
+	se.proving, se.since = true, at
+	se.aside = at + grown(leastAside, se.run-need)
 }
 
-// silent notes a request that waited in vain.
-func (se *server) silent(at time.Duration) {
-	se.doubted = at + grown(silentAside, se.silences)
+// wait notes a request that began at start and waited in vain. Those that were
+// in flight together count once.
+func (se *server) wait(at, start time.Duration) {
+	if start <= se.silent {
+		return
+	}
+	se.silent = at
+	se.doubted = at + grown(leastDoubt, se.silences)
 	se.silences++
 }
 
-// grown returns a span that was doubled a number of times, up to mostAside.
+// grown returns a span that is doubled a number of times, up to mostAside.
 func grown(least time.Duration, times int) time.Duration {
 	for ; times > 0 && least < mostAside; times-- {
 		least *= 2
@@ -188,50 +220,49 @@
 
 // load takes over a reported load.
 func (se *server) load(at time.Duration, re Report) {
-	se.running, se.waiting, se.slots, se.pace = re.Running, re.Waiting, re.Slots, re.Pace
+	se.waiting, se.slots, se.pace = max(0, re.Waiting), re.Slots, re.Pace
 	se.loaded = at
 }
 
 // freshness returns how much a reported load still counts, from 0 to 1.
 func (se *server) freshness(at time.Duration) float64 {
-	if se.loaded < 0 {
-		return 0
-	}
 	return max(0, 1-float64(at-se.loaded)/float64(loadFresh))
 }
 
 // capacity returns the server's slots.
 func (se *server) capacity() float64 {
-	if se.loaded >= 0 && se.slots > 0 {
+	if se.slots > 0 {
 		return float64(se.slots)
 	}
 	return float64(max(1, se.record.Slots))
 }
 
-// expected returns the time that work of the given median is expected to take,
-// and the standing of the server.
-func (se *server) expected(at, typical time.Duration) (float64, standing) {
-	queue := float64(len(se.flights)) / se.capacity()
-	factor := se.factor(at)
-	if fresh := se.freshness(at); fresh > 0 {
-		queue += fresh * float64(se.waiting) / se.capacity()
-		if se.pace > 0 {
-			factor *= 1 + fresh*(float64(se.pace)/usualPace-1)
-		}
+// expected returns how long work of the given median should take at the
+// server, in nanoseconds, with what its failures cost.
+func (se *server) expected(at, typical time.Duration, hedge bool) float64 {
+	fade := se.fade(at)
+	fresh := se.freshness(at)
+	time := math.Exp(se.slowness*fade) * float64(typical)
+	time *= 1 + (float64(len(se.flights))+fresh*float64(se.waiting))/se.capacity()
+	if se.pace > 0 {
+		time *= 1 + fresh*(float64(se.pace)/usualPace-1)
 	}
-	time := factor * float64(typical) * (1 + queue)
-	time *= 1 + failureCost*se.failures*se.fade(at)
+	time *= 1 + failureCost*se.failures*fade
 	time *= se.stillness(at)
-	return time, se.standing(at)
+	if hedge {
+		time *= 1 + staleCost*min(1, float64(at-se.answered)/float64(staleSpan))
+	}
+	return time
 }
 
-// stillness returns a factor above one while a request has been in flight for
-// longer than it should: the server may stand still, before it is overdue.
+// stillness returns by how many times the oldest request in flight exceeds its
+// expected time, at least one: the server may stand still, long before the
+// request is overdue.
 func (se *server) stillness(at time.Duration) float64 {
 	most := 1.0
 	for ix := range se.flights {
 		fl := &se.flights[ix]
-		most = max(most, float64(at-fl.start)/float64(max(fl.typical, 1)))
+		most = max(most, float64(at-fl.start)/float64(fl.typical))
 	}
 	return most
 }
@@ -252,22 +283,8 @@
 		return shunned
 	case se.proving:
 		return due
-	case se.late > 0 || at < se.doubted:
+	case se.blamed > 0 || at < se.doubted:
 		return suspect
 	}
 	return sound
 }
-
-const (
-	staleSpan  = 300 * time.Millisecond
-	staleFirst = 0.0001
-	staleHedge = 0.5
-)
-
-func (se *server) stale(at time.Duration, hedge bool) float64 {
-	cost := staleFirst
-	if hedge {
-		cost = staleHedge
-	}
-	return 1 + cost*min(1, float64(at-se.answered)/float64(staleSpan))
-}
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -391,15 +391,10 @@
 		return pk
 	}
 	at := tb.at(fa.sm.clock())
-	var of []*server
-	for _, se := range tb.services[as.Service] {
-		if tb.usable(se, as) {
-			of = append(of, se)
-		}
-	}
-	se := of[fa.sm.rn.IntN(len(of))]
 	wo := tb.work(at, as.Work)
-	return Pick{Server: se.record, se: se, number: se.take(at, wo, wo.typical())}
+	cas := tb.rate(at, as, wo)
+	se := cas[fa.sm.rn.IntN(len(cas))].se
+	return Pick{Server: se.record, se: se, number: se.take(at, wo)}
 }
 
 func (fa *simFan) send() *simAttempt {
--- a/replica/table.go
+++ b/replica/table.go
@@ -14,13 +14,16 @@
 )
 
 const (
-	// defaultHedgeShare is the share of requests that are hedged.
+	// defaultHedgeShare is the share of requests that reach their hedge time.
 	defaultHedgeShare = 0.08
 	// mostWorks is how many kinds of work are remembered; beyond that the one
 	// that was not used for longest is forgotten.
 	mostWorks = 1024
+	// mostMoved is how many servers that moved are remembered beyond their last
+	// listing; then the oldest are forgotten.
+	mostMoved = 4096
 	// seedStream is the second half of the seed.
-	seedStream = 0x9e3779b97f4a7c15
+	seedStream uint64 = 0x9e3779b97f4a7c15
 )
 
 // Config is what a Table is made with. The zero Config is usable.
@@ -40,16 +43,19 @@
 type Table struct {
 	cf Config
 
-	mu       sync.Mutex
-	rn       *rand.Rand
-	begun    bool
-	base     time.Time     // base is the time of the first call.
-	latest   time.Duration // latest is the time of the newest call, since base.
-	resumed  time.Duration // resumed is when the process last went on after it stood still.
-	services map[string][]*server
-	servers  map[string]*server
-	works    map[string]*work
-	limits   map[string]int // limits are the most requests in flight at one server, by service.
+	mu         sync.Mutex
+	rn         *rand.Rand
+	begun      bool
+	base       time.Time     // base is the time of the first call.
+	latest     time.Duration // latest is the time of the newest call, since base.
+	resumed    time.Duration // resumed is when the process last went on after it stood still.
+	services   map[string][]*server
+	servers    map[string]*server
+	works      map[string]*work
+	moved      map[string]bool // moved are the ids of servers that moved.
+	movedOrder []string        // movedOrder lists them, the oldest first.
+	limits     map[string]int  // limits are the most requests in flight at one server, by service.
+	candidates []candidate     // candidates is room for those of one choice.
 }
 
 // New returns a table without servers.
@@ -60,9 +66,11 @@
 	return &Table{
 		cf:       cf,
 		rn:       rand.New(rand.NewPCG(cf.Seed, seedStream)),
+		resumed:  never,
 		services: make(map[string][]*server),
 		servers:  make(map[string]*server),
 		works:    make(map[string]*work),
+		moved:    make(map[string]bool),
 	}
 }
 
@@ -77,7 +85,8 @@
 }
 
 // Update takes over the servers by service. What is known of ids that stay is
-// kept, that of others forgotten. Only ready servers are chosen.
+// kept, that of others forgotten, except that they moved. Only ready servers
+// are chosen.
 func (tb *Table) Update(now time.Time, ses map[string][]registry.Server) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -90,6 +99,7 @@
 			se := old[re.ID]
 			if se == nil {
 				se = newServer(at, re)
+				se.moved = tb.moved[re.ID]
 			}
 			se.record = re
 			tb.servers[re.ID] = se
@@ -122,29 +132,6 @@
 	tb.limits = most
 }
 
-// Ask is what a server is wanted for.
-type Ask struct {
-	Service string
-	// Work names requests that cost alike, of whatever service.
-	Work string
-	// Avoid are the ids that were asked for this request before.
-	Avoid []string
-	// Sure says that the request must not serve as a probe of a server that
-	// failed or was slow, because it can't be sent again.
-	Sure bool
-}
-
-// Pick is a chosen server and a request in flight to it, until Done.
-type Pick struct {
-	Server registry.Server
-	// Doubtful says that the server is suspect or set aside and was chosen because
-	// no other is left: a hedge there is hardly worth its cost.
-	Doubtful bool
-
-	se     *server
-	number uint64
-}
-
 // ReportKind says how a request to a server ended.
 type ReportKind uint8
 
@@ -153,10 +140,10 @@
 	Served      ReportKind = iota // Served is an answer that is no failure of the server.
 	Shed                          // Shed is a refusal of the server, which hasn't run the request.
 	Failed                        // Failed is a 5xx, a wrong answer or a lost one.
-	Silent                        // Silent was given up: a hedge won, or time was out.
+	Silent                        // Silent was given up while it was waited for: a hedge won, or time was out.
 	Unreachable                   // Unreachable is no connection.
 	Moved                         // Moved is the word of another server at the address; this one is gone for good.
-	Canceled                      // Canceled says nothing of the server: the caller left, or the request wasn't needed any more.
+	Canceled                      // Canceled says nothing of the server: the caller left, or this was the hedge and lost.
 )
 
 // Report is what a request showed of its server.
@@ -177,66 +164,88 @@
 	if pk.se == nil {
 		return
 	}
-	ix := pk.se.flight(pk.number)
-	if ix < 0 {
+	found := pk.se.find(pk.number)
+	if found == nil {
 		return
 	}
-	fl := pk.se.land(ix)
+	fl := *found
+	pk.se.land(found)
 	if re.HasLoad {
 		pk.se.load(at, re)
 	}
 	if re.Kind == Moved {
-		pk.se.moved = true
+		tb.bury(pk.se)
 	}
-	if fl.start < tb.resumed {
-		return
+	if fl.start >= tb.resumed {
+		tb.learn(at, pk.se, &fl, re.Kind)
 	}
-	tb.learn(at, pk.se, fl, re.Kind)
 }
 
 // learn takes in the end of a request.
-func (tb *Table) learn(at time.Duration, se *server, fl flight, kind ReportKind) {
-	latency := at - fl.start
+func (tb *Table) learn(at time.Duration, se *server, fl *flight, kind ReportKind) {
 	switch kind {
 	case Served:
-		se.renew(at)
-		if fl.work.total > 0 {
-			fl.work.refresh(1 - tb.cf.HedgeShare)
-			se.learn(latency, fl.work.typical(), false)
-		}
-		fl.work.add(at, latency)
-		se.served(at)
+		tb.learnAnswer(at, se, fl)
+	case Silent:
+		tb.learnSilence(at, se, fl)
 	case Failed:
 		se.renew(at)
-		se.failed(at, false)
+		se.fail(at, fl.start, failedRun)
 	case Shed, Unreachable:
 		se.renew(at)
-		se.failed(at, true)
-	case Silent:
-		tb.learnSilence(at, se, fl)
+		se.fail(at, fl.start, 1)
 	case Moved, Canceled:
 	}
 }
 
+// learnAnswer takes in a request that was answered.
+func (tb *Table) learnAnswer(at time.Duration, se *server, fl *flight) {
+	latency := at - fl.start
+	se.renew(at)
+	if fl.work.known() {
+		fl.work.refresh(tb.high())
+		se.learn(latency, fl.work.typical(), false)
+	}
+	fl.work.add(at, latency)
+	se.serve(at)
+}
+
 // learnSilence takes in a request that was given up. Its real latency lies
-// beyond the hedge time: left out, or counted as what was waited for at a server
-// that was hedged sooner, it would pull the quantile down, and more and more
-// requests would be hedged.
-func (tb *Table) learnSilence(at time.Duration, se *server, fl flight) {
+// beyond its hedge time. Were it left out, or counted as what it was waited for
+// at a server that was hedged sooner, the quantile would fall with each hedge,
+// and more and more requests would be hedged.
+func (tb *Table) learnSilence(at time.Duration, se *server, fl *flight) {
 	latency := at - fl.start
+	fl.work.refresh(tb.high())
+	delay := fl.work.delay(at)
 	se.renew(at)
-	se.learn(latency, fl.work.typical(), true)
-	if !fl.overdue {
+	if fl.work.known() {
+		se.learn(latency, fl.work.typical(), true)
+	}
+	if !fl.overdue && latency < delay {
+		return
+	}
+	fl.work.add(at, max(latency, delay))
+	se.wait(at, fl.start)
+}
+
+// bury remembers that a server moved.
+func (tb *Table) bury(se *server) {
+	if se.moved {
 		return
 	}
-	fl.work.refresh(1 - tb.cf.HedgeShare)
-	fl.work.add(at, max(latency, fl.work.delay(at)))
-	se.silent(at)
+	se.moved = true
+	tb.moved[se.record.ID] = true
+	tb.movedOrder = append(tb.movedOrder, se.record.ID)
+	if len(tb.movedOrder) > mostMoved {
+		delete(tb.moved, tb.movedOrder[0])
+		tb.movedOrder = tb.movedOrder[1:]
+	}
 }
 
-// Overdue says that the request of a pick has passed its hedge time, hedged or
-// not. The server counts as suspect until it answers, or for a moment after
-// the request was given up.
+// Overdue says that the request of a pick has passed its hedge time, whether it
+// is hedged or not. The server is suspect until it answers any request, or for
+// a moment after this one was given up.
 func (tb *Table) Overdue(now time.Time, pk Pick) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -244,27 +253,19 @@
 	if pk.se == nil {
 		return
 	}
-	ix := pk.se.flight(pk.number)
-	if ix < 0 {
-		return
-	}
-	if fl := &pk.se.flights[ix]; !fl.overdue && fl.start >= tb.resumed {
-		fl.overdue = true
-		pk.se.late++
+	if fl := pk.se.find(pk.number); fl != nil && fl.start >= tb.resumed {
+		pk.se.blame(fl)
 	}
 }
 
-// Resumed says that the process stood still until now. The requests in flight
-// show nothing of their servers any more.
+// Resumed says that the process stood still until now, suspended or frozen. The
+// requests in flight show nothing of their servers any more.
 func (tb *Table) Resumed(now time.Time) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.resumed = tb.at(now)
 	for _, se := range tb.servers {
-		se.late = 0
-		for ix := range se.flights {
-			se.flights[ix].overdue = false
-		}
+		se.clear()
 	}
 }
 
@@ -277,31 +278,35 @@
 	if wo == nil {
 		return unknownMedian
 	}
-	wo.refresh(1 - tb.cf.HedgeShare)
+	wo.refresh(tb.high())
 	return wo.typical()
 }
 
+// high returns the quantile of latencies after which a request is hedged.
+func (tb *Table) high() float64 { return 1 - tb.cf.HedgeShare }
+
 // work returns what is known of a work, with its quantiles up to date.
 func (tb *Table) work(at time.Duration, name string) *work {
 	wo := tb.works[name]
 	if wo == nil {
-		tb.shed()
+		tb.forgetWork()
 		wo = &work{since: at}
 		tb.works[name] = wo
 	}
 	wo.used = at
-	wo.refresh(1 - tb.cf.HedgeShare)
+	wo.refresh(tb.high())
 	return wo
 }
 
-// shed forgets the work that was not used for longest, if there are too many.
-func (tb *Table) shed() {
+// forgetWork forgets the work that was not used for longest, if there are too
+// many.
+func (tb *Table) forgetWork() {
 	if len(tb.works) < mostWorks {
 		return
 	}
 	oldest := ""
 	for name, wo := range tb.works {
-		if oldest == "" || wo.used < tb.works[oldest].used {
+		if first := tb.works[oldest]; first == nil || wo.used < first.used {
 			oldest = name
 		}
 	}
--- a/replica/work.go
+++ b/replica/work.go
@@ -75,7 +75,7 @@
 // quantile returns a quantile, between the bounds of its step in proportion to
 // the weights; zero if there is no latency.
 func (wo *work) quantile(qu float64) time.Duration {
-	if wo.total <= 0 {
+	if !wo.known() {
 		return 0
 	}
 	rest := qu * wo.total
@@ -93,9 +93,12 @@
 	return time.Duration(float64(shortest) * math.Exp2(step/stepsPerDouble))
 }
 
+// known reports whether any latency was taken in.
+func (wo *work) known() bool { return wo.total > 0 }
+
 // typical returns the median, or a guess if nothing is known.
 func (wo *work) typical() time.Duration {
-	if wo.total <= 0 {
+	if !wo.known() {
 		return unknownMedian
 	}
 	return wo.median
@@ -104,7 +107,7 @@
 // delay returns the time after which a request is late.
 func (wo *work) delay(at time.Duration) time.Duration {
 	switch {
-	case wo.total <= 0:
+	case !wo.known():
 		return unknownDelay
 	case wo.total*math.Exp2(-float64(at-wo.since)/float64(forgetHalf)) < enoughSamples:
 		return fewDelay * wo.median
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -75,7 +75,7 @@
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
-	sp.Add(service{"idle connections", func(ctx context.Context) error { return closeIdle(ctx, up, ts) }})
+	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, re, ts, lg) }})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := sp.ServeBackground(run)
@@ -128,19 +128,38 @@
 // EntriesChanged takes over which entry instances share the backend servers.
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
 
-// idlePeriod is how often connections that nobody uses are looked at.
-const idlePeriod = 5 * time.Second
+const (
+	// watchedPeriod is how often the process looks whether it stood still.
+	watchedPeriod = 250 * time.Millisecond
+	// stoodStill is the time between two looks from which it did.
+	stoodStill = time.Second
+	// idlePeriod is how often connections that nobody uses are looked at.
+	idlePeriod = 5 * time.Second
+)
 
-// closeIdle closes connections to backend servers that were idle for too long.
-func closeIdle(ctx context.Context, up *upstream.Client, ts *timer.Service) error {
-	su := ts.Subscribe(idlePeriod)
+// keepHouse closes connections to backend servers that were idle for too long,
+// and tells the choice of replicas when the process stood still: what requests
+// seem to have taken then says nothing of their servers, and learned as real
+// latencies it would set them all aside.
+func keepHouse(ctx context.Context, up *upstream.Client, re *replica.Table, ts *timer.Service, lg *zap.Logger) error {
+	su := ts.Subscribe(watchedPeriod)
 	defer su.Stop()
+	last, closed := ts.Now(), ts.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-su.C:
+		case <-su.C:
+		}
+		now := ts.Now()
+		if gap := now.Sub(last); gap >= stoodStill {
+			re.Resumed(now)
+			lg.Warn("process-stood-still", zap.Duration("For", gap))
+		}
+		if now.Sub(closed) >= idlePeriod {
 			up.CloseIdle(now)
+			closed = now
 		}
+		last = now
 	}
 }
