--- a/cmd/balsamload/main.go
+++ b/cmd/balsamload/main.go
@@ -38,9 +38,6 @@
         send one query and print its answer
   balsamload capacity [-quick] [-json] [-runs N] [-role ROLE] [-sizes A,B,C] [-list] [NAME...]
         measure slopes and print them as a table for docs/CAPACITY.md
-  balsamload routed [-json] FILE
-        run an experiment file of the routed tier in this process and print what
-        was measured
   balsamload help
         print this text
 
--- a/fleet/note.go
+++ b/fleet/note.go
@@ -32,9 +32,6 @@
 }
 
 func (th *thread) writeNote(do *document) error {
-	if err := th.nd.fsys.MakeDir(th.nd.cf.Dir); err != nil {
-		return err
-	}
 	fi, err := th.nd.fsys.Create(th.path(noteTemporary))
 	if err != nil {
 		return err
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -56,7 +56,6 @@
 	book    map[string]remembered
 	members []Member // members are those that the observer was told.
 	pushed  map[string]push
-	voters  quorum.VoterSet // voters are those that were logged last.
 	noted   uint64          // noted is the version of the document in the note.
 
 	leading   leadership
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,7 +114,9 @@
 	sv.bu.SetEntries(now, count)
 	sv.mu.Lock()
 	sv.entriesKnown(sv.entries.now, count)
-	sv.entries = sv.entries.with(now, count)
+	if sv.entries = sv.entries.with(now, count); count < sv.entries.top {
+		sv.ts.Timeout(entryMemory, sv.share)
+	}
 	sv.mu.Unlock()
 	sv.share()
 }
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -27,20 +27,34 @@
 	newFor = time.Second
 )
 
-// entryCount is the highest number of entry instances seen lately.
+// entryCount is how many entry instances there are, and the highest number that
+// was seen lately.
 type entryCount struct {
 	now, top int
-	topAt    time.Time
+	fell     time.Time // fell is until when there were as many as top.
 }
 
+// with takes over a count. The highest one counts from when it last held: after a
+// long calm, the first fall must not be taken over at once.
 func (ec entryCount) with(now time.Time, count int) entryCount {
-	if count >= ec.top || now.Sub(ec.topAt) > entryMemory {
-		return entryCount{now: count, top: count, topAt: now}
+	switch {
+	case count >= ec.highest(now):
+		return entryCount{now: count, top: count}
+	case ec.now == ec.top:
+		ec.fell = now
 	}
 	ec.now = count
 	return ec
 }
 
+// highest returns the highest count within entryMemory.
+func (ec entryCount) highest(now time.Time) int {
+	if ec.now < ec.top && now.Sub(ec.fell) >= entryMemory {
+		return ec.now
+	}
+	return ec.top
+}
+
 // share divides each backend server's connections among the entry instances, so
 // that together they never open more than it takes: what is over is reset, with
 // whatever request was on it.
@@ -48,7 +62,7 @@
 	tb := sv.tb.Load()
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	entries := max(1, sv.entries.top)
+	entries := max(1, sv.entries.highest(sv.ts.Now()))
 	part := sv.connectionPart()
 	shares := make(map[string]int)
 	targets := make(map[string]upstream.Target)
--- /dev/null
+++ b/gateway/share_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Nine entry instances run in calm for a minute, then three are cut off from
+// control. They still hold their connections, so the six others must not divide the
+// backend servers' connections among six: together they would open more than the
+// backend servers take, and these reset what is over, with the requests on it.
+func TestEntryCount(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	at := func(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+	ec := entryCount{}.with(at(0), 3).with(at(1), 9)
+	c.Assert(ec.highest(at(60)), qt.Equals, 9)
+	ec = ec.with(at(61), 6)
+	c.Assert(ec.highest(at(61)), qt.Equals, 9)
+	ec = ec.with(at(70), 5)
+	c.Assert(ec.highest(at(80)), qt.Equals, 9)
+	c.Assert(ec.highest(at(81)), qt.Equals, 5)
+	ec = ec.with(at(90), 7)
+	c.Assert(ec.highest(at(90)), qt.Equals, 7)
+	ec = ec.with(at(91), 6)
+	c.Assert(ec.highest(at(110)), qt.Equals, 7)
+	c.Assert(ec.highest(at(111)), qt.Equals, 6)
+}
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +34,6 @@
 	answerWithin = 1500 * time.Millisecond
 	// exitBefore is how long before the end of the time for a stop the process ends.
 	exitBefore = 300 * time.Millisecond
-	// garbagePercent trades memory, of which there is plenty, for processor time.
-	garbagePercent = 400
 )
 
 // entry is an entry instance.
@@ -50,7 +47,6 @@
 }
 
 func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
-	debug.SetGCPercent(garbagePercent)
 	now := ts.Now()
 	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
