gateway: callers' connections end after 6 to 14 s

Ruled out: the address lists, which named all again. Change: a connection is ended with an answer after a random time.

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"balsamwinch.example/peer"
 	"balsamwinch.example/result"
 )
@@ -96,6 +98,7 @@
 			continue // The hint of the first one is most often right.
 		}
 		if err := nd.ts.Sleep(ctx, nd.jitter(askPause)); err != nil {
+			nd.lg.Warn("request-not-served", zap.String("Operation", op), zap.String("Reason", reason), zap.Int("Tries", try+1))
 			return Answer{}, &result.Error{Code: result.ControlUnavailable, Op: op, Detail: reason, Err: err}
 		}
 	}
--- a/fleet/census_test.go
+++ b/fleet/census_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"balsamwinch.example/quorum"
+	"balsamwinch.example/timer"
 )
 
 // In the table, voters, learners and outsiders are named by instance and disk; a
@@ -69,6 +71,38 @@
 	}
 }
 
+// An instance that is gone stays a member for a while, since it may only be cut
+// off, and is then forgotten. What it was told of by others it passes on to
+// nobody: two would remind each other of a third for ever.
+func TestMembersAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	ob := &recorder{}
+	nd := New(Config{Name: "a", Address: "A"}, timer.New(), zap.NewNop(), ob)
+	th := newThread(t.Context(), nd)
+	defer th.close()
+	aa, bb, cc := Member{Name: "a", Address: "A"}, Member{Name: "b", Address: "B"}, Member{Name: "c", Address: "C"}
+	now := time.Unix(0, 0)
+	reports := []partner{{report: Report{Name: "b", Address: "B", Members: []Member{aa, cc}}}}
+	th.remember(now, reports)
+	c.Assert(ob.members, qt.DeepEquals, []Member{aa, bb, cc})
+	c.Assert(th.linked(), qt.HasLen, 0)
+
+	// It comes under another address, and says so itself.
+	moved := Member{Name: "c", Address: "C2"}
+	now = now.Add(memberMemory / 2)
+	th.forget(now)
+	th.remember(now, append(reports, partner{report: Report{Name: "c", Address: "C2"}}))
+	c.Assert(ob.members, qt.DeepEquals, []Member{aa, bb, moved})
+
+	now = now.Add(memberMemory - 1)
+	th.forget(now)
+	th.remember(now, nil)
+	c.Assert(ob.members, qt.DeepEquals, []Member{aa, bb, moved})
+	th.forget(now.Add(1))
+	th.remember(now.Add(1), nil)
+	c.Assert(ob.members, qt.DeepEquals, []Member{aa})
+}
+
 // Each pair of instances keeps one line after both have dialled, the one that the
 // instance with the lesser name opened.
 func TestSuperfluousLine(t *testing.T) {
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -56,7 +56,7 @@
 	book    map[string]remembered
 	members []Member // members are those that the observer was told.
 	pushed  map[string]push
-	noted   uint64          // noted is the version of the document in the note.
+	noted   uint64 // noted is the version of the document in the note.
 
 	leading   leadership
 	proposals []proposing
@@ -222,11 +222,7 @@
 		th.seedsAt = now
 		th.seeds = th.nd.cf.Seeds()
 	}
-	for name, re := range th.book {
-		if now.Sub(re.seen) >= memberMemory {
-			delete(th.book, name)
-		}
-	}
+	th.forget(now)
 	if now.Sub(th.housedAt) >= gap {
 		// Nobody could be heard during a gap of this instance's own.
 		th.leading.since = now
@@ -275,6 +271,15 @@
 	th.nd.ob.MembersChanged(slices.Clone(mes))
 }
 
+// forget drops those that nobody has been linked with for long.
+func (th *thread) forget(now time.Time) {
+	for name, re := range th.book {
+		if now.Sub(re.seen) >= memberMemory {
+			delete(th.book, name)
+		}
+	}
+}
+
 // known returns this instance, the voters and those remembered, by name.
 func (th *thread) known() []Member {
 	mes := []Member{{Name: th.nd.cf.Name, Address: th.nd.cf.Address}}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 	start := sv.ts.Now()
 	active := sv.active.Add(1)
 	defer sv.active.Add(-1)
-	if sv.closing.Load() {
+	if sv.closing.Load() || outlived(rq.Context(), start) {
 		wr.Header().Set("Connection", "close")
 	}
 	ca := &call{sv: sv, wr: wr, rq: rq, start: start, id: rq.Header.Get(sv.cf.Names.RequestID)}
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -28,3 +28,18 @@
 	c.Assert(ec.highest(at(110)), qt.Equals, 7)
 	c.Assert(ec.highest(at(111)), qt.Equals, 6)
 }
+
+// Three of nine entry instances are cut off for a while, and their callers connect to
+// the others. Nothing would bring them back while their new connections serve them;
+// so each connection is used for a bounded time, at random, and then ended with an
+// answer.
+func TestLifetime(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	c.Assert(outlived(t.Context(), now), qt.IsFalse)
+	for range 100 {
+		ctx := WithLifetime(t.Context(), now)
+		c.Assert(outlived(ctx, now.Add(leastLifetime)), qt.IsFalse)
+		c.Assert(outlived(ctx, now.Add(mostLifetime)), qt.IsTrue)
+	}
+}
--- a/tier/door.go
+++ b/tier/door.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/gateway"
 	"balsamwinch.example/route"
 	"balsamwinch.example/timer"
 )
@@ -58,7 +59,9 @@
 		ReadHeaderTimeout: lm.HeaderTimeout,
 		IdleTimeout:       lm.IdleTimeout + idleSlack,
 		MaxHeaderBytes:    lm.HeaderBytes,
-		ErrorLog:          nil,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return gateway.WithLifetime(ctx, do.ts.Now())
+		},
 	}
 	go func(sv *http.Server, in *inlet) { _ = sv.Serve(in) }(do.sv, do.in)
 }
