--- a/cmd/balsamload/main.go
+++ b/cmd/balsamload/main.go
@@ -32,6 +32,9 @@
   balsamload run [-json] [-callers A,B -backends A,B -operators A,B] FILE
         run an experiment file on a tier in this process, or on instances that
         run elsewhere, and print what was measured
+  balsamload routed [-json] FILE
+        run an experiment file of the routed tier in this process and print what
+        was measured
   balsamload files -out FOLDER FILE
         write the operators' files of an experiment
   balsamload once -callers A,B [-json] SERVICE
--- a/cmd/balsamwinch/main.go
+++ b/cmd/balsamwinch/main.go
@@ -30,6 +30,7 @@
   balsamwinch check -settings FILE   check a settings file
   balsamwinch platform               run one instance of the routed tier on the users' platform
   balsamwinch demo [-once]           run a whole tier with emulated backend servers
+  balsamwinch demo -routed [-once]   the same for the routed tier
   balsamwinch help                   print this text
 
 Example:
--- a/fleet/note.go
+++ b/fleet/note.go
@@ -23,7 +23,7 @@
 // note is written before a proposal is answered, so the one who gave the answer
 // knows the document at its next start.
 //
-// The folder is not synced: if the new name is lost, the older note stands. A
+// The folder is synced, since a name that is lost brings back the older note. A
 // note that can't be written is no reason to stop.
 func (th *thread) note(do *document) {
 	if err := th.writeNote(do); err != nil {
@@ -40,7 +40,10 @@
 	if err := errors.Join(err, fi.Sync(), fi.Close()); err != nil {
 		return err
 	}
-	return th.nd.fsys.Rename(th.path(noteTemporary), th.path(noteName))
+	if err := th.nd.fsys.Rename(th.path(noteTemporary), th.path(noteName)); err != nil {
+		return err
+	}
+	return th.nd.fsys.SyncDir(th.nd.cf.Dir)
 }
 
 // readNote takes over the document of the note, if there is one.
--- a/tier/shared.go
+++ b/tier/shared.go
@@ -23,8 +23,8 @@
 // linkSeeds returns the link addresses of the seeds in force.
 func (sh *shared) linkSeeds() []string { return sh.se.Load().LinkSeeds() }
 
-// follow takes over settings that were read again. Of these, seeds and times
-// take effect; the instance's own addresses are fixed from its start.
+// follow takes over settings that were read again. Of these, the seeds and the
+// time to live of address lists take effect; all else is fixed from the start.
 func (sh *shared) follow(ctx context.Context, changes <-chan Settings, lg *zap.Logger) {
 	for {
 		select {
