deploy, tier: settings of platforms that leave bounds out, or give fractions

Cause: found by reading and tests: a slack with a fraction, or bounds of rules that are not in force, made the settings unreadable, so no instance would start; a configuration without limits ended idle connections after half a second; settings with both roles passed and only one ran.

--- a/tier/door.go
+++ b/tier/door.go
@@ -66,10 +66,26 @@
 	go func(sv *http.Server, in *inlet) { _ = sv.Serve(in) }(do.sv, do.in)
 }
 
+// complete returns the limits with those of the start for what a configuration
+// doesn't name. A time of 0 would end connections at once, or never.
+func complete(lm route.Limits) route.Limits {
+	if lm.HeaderBytes <= 0 {
+		lm.HeaderBytes = firstHeaderBytes
+	}
+	if lm.HeaderTimeout <= 0 {
+		lm.HeaderTimeout = firstHeaderTimeout
+	}
+	if lm.IdleTimeout <= 0 {
+		lm.IdleTimeout = firstIdleTimeout
+	}
+	return lm
+}
+
 // SetLimits takes over the limits of a configuration.
 func (do *door) SetLimits(lm route.Limits) {
 	do.mu.Lock()
 	defer do.mu.Unlock()
+	lm = complete(lm)
 	if lm == do.lm {
 		return
 	}
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -50,7 +50,7 @@
 	now := ts.Now()
 	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
-	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: se.Budget.Slack, Window: se.Budget.Window, Share: budgetShare}, now)
+	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
 	en := &entry{di: di, lg: lg}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.Names(), CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -64,7 +64,7 @@
 // Budget bounds arrivals at backend servers beyond the first of each request.
 type Budget struct {
 	Ratio  float64
-	Slack  int
+	Slack  float64
 	Window time.Duration
 }
 
@@ -122,6 +122,8 @@
 		return &fieldError{"Seeds", "at least one address", "none"}
 	case se.Control() && se.DataFolder == "":
 		return &fieldError{"DataFolder", "a folder, since this is a control instance", "nothing"}
+	case se.Entry() && se.Control():
+		return &fieldError{"Listen", "an address for Callers or for Control", "both"}
 	case se.Losses < 0:
 		return &fieldError{"Losses", "0 or more", fmt.Sprint(se.Losses)}
 	}
