--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
@@ -104,7 +103,7 @@
 	cause := ca.cause(cr)
 	switch {
 	case !cr.qu.Ran():
-		ca.refuse(cause, retryAfter(cr, ca.sv.ts.Now().Sub(ca.start)))
+		ca.refuse(cause, retryNoServer)
 	case cr.qu.End() == scatter.Expired:
 		ca.fail(http.StatusGatewayTimeout, ca.unknown(), cause)
 	default:
@@ -120,8 +119,6 @@
 	return result.OutcomeUnknown
 }
 
-func retryAfter(_ *carrier, _ time.Duration) time.Duration { return retryNoServer }
-
 // cause returns the gravest cause among the shards without a part.
 func (ca *call) cause(cr *carrier) string {
 	worst := scatter.CauseNone
