fleet, gateway, scatter: one way to replace a file; dead state goes

Cause: read again as a newcomer: the mark of the first start and the note replaced their files by the same nine lines; Retry-After and the test for a success stood twice; Plan.Start was never read, the default timeout never reached (route.New refuses a route without one). Behaviour stays.

--- a/fleet/disk.go
+++ b/fleet/disk.go
@@ -111,7 +111,14 @@
 	if err != nil {
 		return err
 	}
-	fi, err := th.nd.fsys.Create(th.path(firstTemporary))
+	return th.replaceFile(firstName, firstTemporary, data)
+}
+
+// replaceFile gives a file in the data folder new content, by way of a temporary
+// file that is synced before it takes the name. After a power loss at any point the
+// file holds the old content or the new.
+func (th *thread) replaceFile(name, temporary string, data []byte) error {
+	fi, err := th.nd.fsys.Create(th.path(temporary))
 	if err != nil {
 		return err
 	}
@@ -119,7 +126,7 @@
 	if err := errors.Join(err, fi.Sync(), fi.Close()); err != nil {
 		return err
 	}
-	if err := th.nd.fsys.Rename(th.path(firstTemporary), th.path(firstName)); err != nil {
+	if err := th.nd.fsys.Rename(th.path(temporary), th.path(name)); err != nil {
 		return err
 	}
 	return th.nd.fsys.SyncDir(th.nd.cf.Dir)
--- a/fleet/note.go
+++ b/fleet/note.go
@@ -26,26 +26,11 @@
 // The folder is synced, since a name that is lost brings back the older note. A
 // note that can't be written is no reason to stop.
 func (th *thread) note(do *document) {
-	if err := th.writeNote(do); err != nil {
+	if err := th.replaceFile(noteName, noteTemporary, mustEncode(do)); err != nil {
 		th.nd.lg.Warn("note-not-written", zap.Uint64("Version", do.Version), zap.Error(err))
 	}
 }
 
-func (th *thread) writeNote(do *document) error {
-	fi, err := th.nd.fsys.Create(th.path(noteTemporary))
-	if err != nil {
-		return err
-	}
-	_, err = fi.Write(mustEncode(do))
-	if err := errors.Join(err, fi.Sync(), fi.Close()); err != nil {
-		return err
-	}
-	if err := th.nd.fsys.Rename(th.path(noteTemporary), th.path(noteName)); err != nil {
-		return err
-	}
-	return th.nd.fsys.SyncDir(th.nd.cf.Dir)
-}
-
 // readNote takes over the document of the note, if there is one.
 func (th *thread) readNote() {
 	data, err := th.nd.fsys.ReadFile(th.path(noteName))
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -107,7 +107,7 @@
 	case cr.qu.End() == scatter.Expired:
 		ca.fail(http.StatusGatewayTimeout, ca.unknown(), cause)
 	default:
-		ca.wr.Header().Set("Retry-After", strconv.FormatFloat(retryNoServer.Seconds(), 'f', -1, 64))
+		ca.setRetryAfter(retryNoServer)
 		ca.fail(http.StatusBadGateway, ca.unknown(), cause)
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,10 +29,6 @@
 	refusalBusy     = "too many requests"
 )
 
-// defaultTimeout bounds a request whose route names none and whose caller said
-// nothing; a checked table always names one.
-const defaultTimeout = 10 * time.Second
-
 // call is one request of a caller.
 type call struct {
 	sv    *Server
@@ -114,16 +110,13 @@
 	return true
 }
 
-// timeout returns how long the request may take here.
+// timeout returns how long the request may take here. A checked table names a
+// timeout for every route.
 func (ca *call) timeout() time.Duration {
-	to := ca.ro.Timeout
-	if to <= 0 {
-		to = defaultTimeout
-	}
-	if said := ca.said(); said > 0 && said < to {
-		return said
+	if said := ca.said(); said > 0 {
+		return min(said, ca.ro.Timeout)
 	}
-	return to
+	return ca.ro.Timeout
 }
 
 // said returns how long the caller says it waits, or 0.
@@ -142,7 +135,6 @@
 		Least:       least,
 		MaxAttempts: ca.ro.MaxAttempts,
 		Repeatable:  ca.ro.Kind == route.Repeatable,
-		Start:       ca.start,
 		Deadline:    ca.start.Add(ca.timeout()),
 		Pause:       refusalPause,
 	}
@@ -183,10 +175,15 @@
 // refuse answers that the request has not run and never will, and when to come
 // back.
 func (ca *call) refuse(reason string, after time.Duration) {
-	ca.wr.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	ca.setRetryAfter(after)
 	ca.fail(http.StatusServiceUnavailable, result.NotRunOverloaded, reason)
 }
 
+// setRetryAfter says when the caller may come back, in seconds with a fraction.
+func (ca *call) setRetryAfter(after time.Duration) {
+	ca.wr.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+}
+
 // fail gives an answer of this instance's own.
 func (ca *call) fail(status int, code result.Code, detail string) {
 	ca.status, ca.code, ca.detail = status, code, detail
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -119,14 +119,14 @@
 	}
 	var spent time.Time
 	if cr.costs(wa) {
+		if !sv.bu.Spend(now, service, keep(wa.Kind)) {
+			sv.re.Done(now, pk, replica.Report{Kind: replica.Canceled})
+			cr.denied(service)
+			cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
+			return
+		}
 		spent = now
 	}
-	if !spent.IsZero() && !sv.bu.Spend(now, service, keep(wa.Kind)) {
-		sv.re.Done(now, pk, replica.Report{Kind: replica.Canceled})
-		cr.denied(service)
-		cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
-		return
-	}
 	switch wa.Kind {
 	case scatter.Hedge:
 		cr.ca.hedged++
@@ -270,12 +270,14 @@
 // unsigned reports whether a success bears no stamp. Nothing proves that a backend
 // server made it for this request, so it must not be passed on as one.
 func unsigned(rp *upstream.Reply) bool {
-	return rp.Stamp == "" && rp.Status >= 200 && rp.Status < 300
+	return rp.Stamp == "" && success(rp.Status)
 }
 
+func success(status int) bool { return status >= 200 && status < 300 }
+
 func (ca *call) answered(status int) scatter.Reply {
 	switch {
-	case status >= 200 && status < 300:
+	case success(status):
 		return scatter.ReplyPart
 	case len(ca.ro.Shards) > 0 || status >= 500:
 		return scatter.ReplyFailed
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -17,7 +17,6 @@
 	Least       int           // Least is how many parts an answer needs.
 	MaxAttempts int           // MaxAttempts is how many backend servers may run the request for one shard.
 	Repeatable  bool          // Repeatable says whether a request may run more than once.
-	Start       time.Time     // Start is when the request had arrived.
 	Offer       time.Time     // Offer is until when a shard that nobody could be asked for is tried.
 	Hold        time.Time     // Hold is until when missing parts are waited for once Least are in.
 	Deadline    time.Time     // Deadline is when the query is given up.
@@ -79,12 +78,10 @@
 	Hedge                 // Hedge runs beside an attempt that is overdue.
 )
 
-const (
-	// refusals is how many backend servers that refused a request unrun are
-	// followed by another one. Each counts as an arrival, so they are bounded
-	// apart from MaxAttempts, which counts those that may have run it.
-	refusals = 3
-)
+// refusals is how many backend servers that refused a request unrun are
+// followed by another one. Each counts as an arrival, so they are bounded
+// apart from MaxAttempts, which counts those that may have run it.
+const refusals = 3
 
 // shard is the state of one part.
 type shard struct {
