--- a/feed/message.go
+++ b/feed/message.go
@@ -8,9 +8,13 @@
 // announced by its version to all and fetched by each entry instance from one
 // control instance. The package decides neither which configuration is newest
 // (the control instances agree on it elsewhere) nor which backend server is asked.
+//
+// What entry instances see of backend servers goes to one control instance, and
+// what package outlier makes of it comes back to all (Seen, Found).
 package feed
 
 import (
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/registry"
 )
@@ -23,6 +27,8 @@
 	kindDocument
 	kindPicture
 	kindUpdate
+	kindSeen
+	kindFound
 )
 
 // EntryState says what an entry instance does with callers.
@@ -136,7 +142,23 @@
 // Kind returns the kind of the message.
 func (Update) Kind() peer.Kind { return kindUpdate }
 
+// Seen tells a control instance what the entry instance saw of backend servers.
+type Seen struct {
+	Samples []outlier.Sample `cbor:"1,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Seen) Kind() peer.Kind { return kindSeen }
+
+// Found tells the entry instances what all of them together saw.
+type Found struct {
+	Findings []outlier.Finding `cbor:"1,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Found) Kind() peer.Kind { return kindFound }
+
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}}
+	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}, Seen{}, Found{}}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/link"
+	"balsamwinch.example/outlier"
+	"balsamwinch.example/peer"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -64,6 +66,8 @@
 	armed       bool      // armed says that a flush is due.
 	flushed     time.Time // flushed is the time of the last update.
 	changes     uint64    // changes counts the changes of the book.
+
+	outliers outliers
 }
 
 // subscriber is one link of an entry instance.
@@ -89,6 +93,7 @@
 	pu := &Publisher{
 		cf: cf, ts: ts, lg: lg, lo: newBounded(lg),
 		book:        registry.NewBook(cf.Silence),
+		outliers:    outliers{de: outlier.New()},
 		subscribers: make(map[*subscriber]struct{}),
 		live:        make(map[string]Entry),
 		pending:     newPending(),
@@ -107,12 +112,16 @@
 	period := min(max(pu.cf.Silence/expiryShare, expiryLeast), expiryMost)
 	tick := pu.ts.Subscribe(period)
 	defer tick.Stop()
+	judge := pu.ts.Subscribe(judgePeriod)
+	defer judge.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 			pu.expire(pu.ts.Now())
+		case <-judge.C:
+			pu.judge(pu.ts.Now())
 		}
 	}
 }
@@ -259,6 +268,8 @@
 			pu.stand(sb, me.State)
 		case Fetch:
 			pu.send(sb, me.Version)
+		case Seen:
+			pu.outliers.add(pu.ts.Now(), me.Samples)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -384,17 +395,22 @@
 	pu.ts.Timeout(max(batchDelay, pu.flushed.Add(batchSpacing).Sub(now)), pu.flush)
 }
 
-// flush sends what is pending to all subscribers. It is encoded once.
+// flush sends what is pending to all subscribers.
 func (pu *Publisher) flush() {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	pu.armed, pu.flushed = false, pu.ts.Now()
 	up := pu.update()
 	pu.pending = newPending()
+	pu.tellAll(up)
+}
+
+// tellAll sends a message to all subscribers. It is encoded once.
+func (pu *Publisher) tellAll(ms peer.Message) {
 	var pa *link.Packed
 	for sb := range pu.subscribers {
 		if pa == nil {
-			packed, err := sb.co.Pack(up)
+			packed, err := sb.co.Pack(ms)
 			if err != nil {
 				pu.lg.Error("message-not-encoded", zap.Error(err))
 				return
--- a/feed/source.go
+++ b/feed/source.go
@@ -197,6 +197,8 @@
 		su.update(so, me)
 	case Document:
 		su.document(so, me)
+	case Found:
+		su.found(so, me.Findings)
 	default:
 		su.lg.Warn("message-not-expected", zap.String("Address", so.address), zap.Uint16("Kind", uint16(me.Kind())))
 	}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/link"
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -47,6 +48,8 @@
 	// EntriesChanged gives the entry instances that are Ready or Draining, by name,
 	// as the control instances together see them.
 	EntriesChanged(live []Entry)
+	// OutliersFound gives what all entry instances together saw of backend servers.
+	OutliersFound(fis []outlier.Finding)
 }
 
 // SubscriberConfig is what a subscriber needs to know.
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/link"
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
@@ -32,6 +33,8 @@
 
 func (*eye) EntriesChanged([]Entry) {}
 
+func (*eye) OutliersFound([]outlier.Finding) {}
+
 // await takes what an observer is told until it is what is wanted.
 func await[T any](c *qt.C, from <-chan T, done func(T) bool) {
 	c.Helper()
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"balsamwinch.example/link"
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
@@ -320,6 +321,7 @@
 	told     []time.Time // told are the times at which servers came.
 	live     []Entry
 	lives    [][]Entry
+	found    []outlier.Finding
 }
 
 // entry makes an entry instance and starts it.
@@ -409,6 +411,19 @@
 	en.lives = append(en.lives, live)
 }
 
+func (en *entry) OutliersFound(fis []outlier.Finding) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.found = append(en.found, fis...)
+}
+
+// findings returns what the entry instance was told of outliers.
+func (en *entry) findings() []outlier.Finding {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return slices.Clone(en.found)
+}
+
 // states returns what the entry instance knows of backend servers, as "id State".
 func (en *entry) states() []string {
 	en.mu.Lock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -211,7 +211,7 @@
 	case upstream.NoConnection:
 		// Connections that wait for a reply nobody wants, or to be opened, are in the
 		// way: the server stands still or is gone.
-		re.Kind = replica.Shed
+		re.Kind, re.Own = replica.Shed, true
 	case upstream.Lost, upstream.Wrong:
 		re.Kind = replica.Failed
 	case upstream.TimedOut:
--- /dev/null
+++ b/outlier/outlier.go
@@ -0,0 +1,35 @@
+// Package outlier finds backend servers that are slow or failing from what many
+// entry instances saw of them. One entry instance sends a backend server a few
+// requests a second or less, so alone it learns late; all of them together have
+// seen enough within a second. Entry instances send their samples to one control
+// instance, whose Detector tells all of them what it found.
+//
+// What is found is a hint for choosing backend servers, and nothing else: it is
+// lost with the control instance, runs out by itself, and no request is refused
+// for it.
+package outlier
+
+import "time"
+
+// Sample is what one entry instance saw of one backend server since its last
+// sample.
+type Sample struct {
+	ID     string  `cbor:"1,keyasint"`
+	Count  uint32  `cbor:"2,keyasint,omitempty"` // Count is how many latencies are in Log.
+	Log    float32 `cbor:"3,keyasint,omitempty"` // Log sums the natural logarithms of latency against the median of its work.
+	Served uint32  `cbor:"4,keyasint,omitempty"` // Served counts the requests that were answered.
+	Failed uint32  `cbor:"5,keyasint,omitempty"` // Failed counts those that were refused, failed or found no connection.
+}
+
+// Finding is what is known of a backend server that is slow or failing, or was.
+type Finding struct {
+	ID       string  `cbor:"1,keyasint"`
+	Slowness float32 `cbor:"2,keyasint,omitempty"` // Slowness is the logarithm of its latency against others; 0 if it is not slow.
+	Failures float32 `cbor:"3,keyasint,omitempty"` // Failures is the share of its requests that fail; 0 if hardly any.
+}
+
+// Clear reports whether the backend server is neither slow nor failing any more.
+func (fi Finding) Clear() bool { return fi.Slowness == 0 && fi.Failures == 0 }
+
+// Lifetime is how long a finding holds from when it was last told.
+const Lifetime = 5 * time.Second
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -118,10 +118,11 @@
 	return !se.moved && !slices.Contains(as.Avoid, se.record.ID)
 }
 
-// reliable reports whether the server hardly fails or refuses at the moment. One
-// that does costs retries, which are scarcer than bytes between data centres.
+// reliable reports whether the server hardly fails or refuses at the moment, and
+// wasn't found slow by all together. One that does costs retries or hedges, which
+// are scarcer than bytes between data centres.
 func (se *server) reliable(at time.Duration) bool {
-	return se.failures*se.fade(at) < fewFailures
+	return se.failing(at) < fewFailures && (at >= se.until || se.found.Slowness == 0)
 }
 
 // probe returns a server that should be probed by the request, if there is one
--- /dev/null
+++ b/replica/news_test.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamwinch.example/outlier"
+	"balsamwinch.example/registry"
+)
+
+// A backend server of the own data centre turned slow, and the other entry
+// instances have seen it. This one has asked it nothing since, and being near it
+// may take three times as long and be chosen all the same. What was found counts at
+// once, as does that it is over.
+func TestFoundSlowServerIsLeft(t *testing.T) {
+	c := qt.New(t)
+	near := ready("a")
+	near.DataCentre = "here"
+	be := newBench(c, near, ready("b"))
+	be.tb.cf.DataCentre = "here"
+	be.settle("a", "b")
+	c.Assert(be.share("a") > 0.9, qt.IsTrue)
+	be.tb.Hear(be.now, []outlier.Finding{{ID: "a", Slowness: float32(math.Log(2.5))}})
+	c.Assert(be.share("a") < 0.1, qt.IsTrue)
+	be.tb.Hear(be.now, []outlier.Finding{{ID: "a"}})
+	c.Assert(be.share("a") > 0.9, qt.IsTrue)
+}
+
+// The control instance that told a finding is lost. The finding must not last.
+func TestFindingRunsOut(t *testing.T) {
+	c := qt.New(t)
+	be := newBench(c, ready("a"), ready("b"))
+	be.settle("a", "b")
+	be.tb.Hear(be.now, []outlier.Finding{{ID: "a", Failures: 0.5}})
+	c.Assert(be.share("a") < 0.1, qt.IsTrue)
+	be.pass(outlier.Lifetime)
+	c.Assert(be.share("a") > 0.3, qt.IsTrue)
+}
+
+// share returns the part of choices that fall to a server.
+func (be *bench) share(id string) float64 {
+	return float64(be.shares(200)[id]) / 200
+}
+
+// News tell each server once, of no more servers than there is room for, and go
+// round: if the slow ones went first, the others would never be told as quick.
+func TestNewsGoRound(t *testing.T) {
+	c := qt.New(t)
+	var ses []registry.Server
+	for ix := range 5 {
+		ses = append(ses, ready(fmt.Sprint(ix)))
+	}
+	be := newBench(c, ses...)
+	for ix := range 5 {
+		be.tb.Done(be.now, be.only(fmt.Sprint(ix)), Report{Kind: Shed})
+	}
+	var told []string
+	for range 3 {
+		for _, sa := range be.tb.News(2) {
+			c.Assert(sa, qt.Equals, outlier.Sample{ID: sa.ID, Failed: 1})
+			told = append(told, sa.ID)
+		}
+	}
+	c.Assert(told, qt.DeepEquals, []string{"0", "1", "2", "3", "4"})
+	c.Assert(be.tb.News(2), qt.HasLen, 0)
+}
+
+// A refusal for want of a connection of its own tells the others nothing.
+func TestOwnLackIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	be := newBench(c, ready("a"))
+	be.tb.Done(be.now, be.only("a"), Report{Kind: Shed, Own: true})
+	c.Assert(be.tb.News(10), qt.HasLen, 0)
+}
+
+// Latencies are told against the median of their work; that of a request that was
+// given up early only if it shows the server slow.
+func TestNewsOfLatencies(t *testing.T) {
+	c := qt.New(t)
+	be := newBench(c, ready("a"))
+	be.settle("a")
+	be.tb.News(10)
+	for _, ca := range []struct {
+		took time.Duration
+		kind ReportKind
+		want uint32
+	}{{15 * ms, Silent, 0}, {100 * ms, Silent, 1}, {10 * ms, Served, 1}} {
+		pk := be.only("a")
+		be.pass(ca.took)
+		be.tb.Done(be.now, pk, Report{Kind: ca.kind})
+		count := uint32(0)
+		for _, sa := range be.tb.News(10) {
+			count += sa.Count
+		}
+		c.Assert(count, qt.Equals, ca.want, qt.Commentf("%v", ca))
+	}
+}
--- a/replica/server.go
+++ b/replica/server.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/registry"
 )
 
@@ -73,6 +74,10 @@
 
 	waiting, slots, pace int           // These are as reported.
 	loaded               time.Duration // loaded is when they were.
+
+	news  outlier.Sample  // news is what is to be told of it; see news.go.
+	found outlier.Finding // found is what all entry instances together saw of it.
+	until time.Duration   // until is when that runs out.
 }
 
 // flight is a request on its way.
@@ -145,7 +150,26 @@
 
 // factor returns how many times longer than usual the server takes.
 func (se *server) factor(at time.Duration) float64 {
-	return math.Exp(se.slowness * se.fade(at))
+	return math.Exp(se.slow(at))
+}
+
+// slow returns the logarithm of how many times longer than usual the server
+// takes, by what this instance saw and what all together found.
+func (se *server) slow(at time.Duration) float64 {
+	own := se.slowness * se.fade(at)
+	if at < se.until {
+		return max(own, float64(se.found.Slowness))
+	}
+	return own
+}
+
+// failing returns the share of requests that fail, likewise.
+func (se *server) failing(at time.Duration) float64 {
+	own := se.failures * se.fade(at)
+	if at < se.until {
+		return max(own, float64(se.found.Failures))
+	}
+	return own
 }
 
 // renew brings the slowness and the failures up to date, before news.
@@ -240,14 +264,13 @@
 // expected returns how long work of the given median should take at the
 // server, in nanoseconds, with what its failures cost.
 func (se *server) expected(at, typical time.Duration, hedge bool) float64 {
-	fade := se.fade(at)
 	fresh := se.freshness(at)
-	time := math.Exp(se.slowness*fade) * float64(typical)
+	time := se.factor(at) * float64(typical)
 	time *= 1 + (float64(len(se.flights))+fresh*float64(se.waiting))/se.capacity()
 	if se.pace > 0 {
 		time *= 1 + fresh*(float64(se.pace)/usualPace-1)
 	}
-	time *= 1 + failureCost*se.failures*fade
+	time *= 1 + failureCost*se.failing(at)
 	time *= se.stillness(at)
 	if hedge {
 		time *= 1 + staleCost*min(1, float64(at-se.answered)/float64(staleSpan))
--- a/replica/table.go
+++ b/replica/table.go
@@ -56,6 +56,7 @@
 	movedOrder []string        // movedOrder lists them, the oldest first.
 	limits     map[string]int  // limits are the most requests in flight at one server, by service.
 	candidates []candidate     // candidates is room for those of one choice.
+	newsFrom   string          // newsFrom is the id after which the next news begin.
 }
 
 // New returns a table without servers.
@@ -154,6 +155,9 @@
 	Running, Waiting, Slots, Pace int
 	// HasLoad says that the server reported a load.
 	HasLoad bool
+	// Own says that the refusal was a lack of this instance, so that it tells the
+	// others nothing of the server.
+	Own bool
 }
 
 // Done ends the request of a pick. A second call for the same pick does nothing.
@@ -177,6 +181,9 @@
 		tb.bury(pk.se)
 	}
 	if fl.start >= tb.resumed {
+		if !re.Own {
+			pk.se.note(re.Kind)
+		}
 		tb.learn(at, pk.se, &fl, re.Kind)
 	}
 }
@@ -205,6 +212,7 @@
 	if fl.work.known() {
 		fl.work.refresh(tb.high())
 		se.learn(latency, fl.work.typical(), false)
+		se.noteLatency(latency, fl.work.typical(), false)
 	}
 	fl.work.add(at, latency)
 	se.serve(at)
@@ -221,6 +229,7 @@
 	se.renew(at)
 	if fl.work.known() {
 		se.learn(latency, fl.work.typical(), true)
+		se.noteLatency(latency, fl.work.typical(), true)
 	}
 	if !fl.overdue && latency < delay {
 		return
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -11,6 +11,7 @@
 	"balsamwinch.example/feed"
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/link"
+	"balsamwinch.example/outlier"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/result"
@@ -42,6 +43,8 @@
 	gw   *gateway.Server
 	su   *feed.Subscriber
 	door *door
+	re   *replica.Table
+	ts   *timer.Service
 	lg   *zap.Logger
 	stop atomic.Bool
 }
@@ -51,7 +54,7 @@
 	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
-	en := &entry{di: di, lg: lg}
+	en := &entry{di: di, re: re, ts: ts, lg: lg}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.Names(), CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
 	}, ts, lg, up, re, bu)
@@ -71,6 +74,7 @@
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
+	sp.Add(service{"news", func(ctx context.Context) error { return en.tellNews(ctx) }})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, re, ts, lg) }})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -124,6 +128,31 @@
 // EntriesChanged takes over which entry instances share the backend servers.
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
 
+// OutliersFound takes over what all entry instances together saw of backend servers.
+func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
+
+const (
+	// newsPeriod is how often an entry instance tells what it saw of backend servers,
+	// and mostNews of how many at most. A sample takes some 25 bytes, so both together
+	// bound what this costs to 4 KB a second.
+	newsPeriod = 300 * time.Millisecond
+	mostNews   = 48
+)
+
+// tellNews tells what this instance saw of backend servers until the context ends.
+func (en *entry) tellNews(ctx context.Context) error {
+	su := en.ts.Subscribe(newsPeriod)
+	defer su.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-su.C:
+			en.su.SendSeen(en.re.News(mostNews))
+		}
+	}
+}
+
 const (
 	// watchedPeriod is how often the process looks whether it stood still.
 	watchedPeriod = 250 * time.Millisecond
