scatter: a shard that nobody can give is given up at once; looks for a connection grow apart

And a look that was due after Offer gave up only then: with looks 13 ms apart, at 26 ms for an Offer of 20.

Offer is Hold for merged requests, and the rows of TestWaitForRoom for parts pass before this change, too.

Change: Nobody gives a shard up at once, but only ends hedging while an attempt is under way. Room ends a wait. Waits tells who waits. Denied and busy look again at Offer at the latest. The pause after ReplyBusy doubles three times: 5, 10, 20, 40. TestBusy named looks each 5 ms; it now names each time of the growing pause, and the wake between them.

Before, on the old scatter.go: TestWaitForRoom/single,_no_server 26 ms for 20, TestBusyGrows 39 looks for 8, TestBusy's new times fail. After: go test ./scatter passes, with -race as well.

--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -20,7 +20,7 @@
 	Offer       time.Time     // Offer is until when a shard that nobody could be asked for is tried.
 	Hold        time.Time     // Hold is until when missing parts are waited for once Least are in.
 	Deadline    time.Time     // Deadline is when the query is given up.
-	Pause       time.Duration // Pause is the time before a shard is asked again after a refusal.
+	Pause       time.Duration // Pause is the time before a shard is asked again after a refusal, or the first time for want of a connection.
 }
 
 // Cause says why a shard has no part.
@@ -83,11 +83,15 @@
 // apart from MaxAttempts, which counts those that may have run it.
 const refusals = 3
 
+// busyDoublings is how often the pause for want of a connection doubles.
+const busyDoublings = 3
+
 // shard is the state of one part.
 type shard struct {
 	flying  int // flying counts attempts under way.
 	ran     int // ran counts attempts that may have run.
 	refused int
+	busy    int // busy counts how often no connection was free.
 	have    bool
 	lost    bool      // lost says that no further attempt is made.
 	next    time.Time // next is when the next ask or hedge is considered.
@@ -120,6 +124,13 @@
 // Cause returns why a shard has no part yet.
 func (qu *Query) Cause(sh int) Cause { return qu.shards[sh].cause }
 
+// Waits reports whether a shard has neither a part nor an attempt under way, and is
+// not given up.
+func (qu *Query) Waits(po int) bool {
+	sh := &qu.shards[po]
+	return qu.end == Running && !sh.have && !sh.lost && sh.flying == 0
+}
+
 // Next appends what is to be tried now to out and returns it. Until the next
 // event, Wake tells when to call it again.
 func (qu *Query) Next(now time.Time, out []Want) []Want {
@@ -164,12 +175,12 @@
 }
 
 // Denied says that an attempt could not be begun and may be tried again later.
-// After Offer a shard that nobody is asked for is given up: a caller that waits
+// At Offer a shard that nobody is asked for is given up: a caller that waits
 // for nothing is better told so at once.
 func (qu *Query) Denied(now time.Time, po int, ca Cause, again time.Time) {
 	sh := &qu.shards[po]
-	sh.next = again
 	if sh.flying > 0 {
+		sh.next = again
 		return
 	}
 	if sh.cause < ca {
@@ -178,6 +189,43 @@
 	if !now.Before(qu.pl.Offer) {
 		qu.lose(sh)
 		qu.settle(now)
+		return
+	}
+	sh.next = qu.withinOffer(again)
+}
+
+// withinOffer returns the time of the next look, at Offer at the latest: given up
+// is what can't be had by then, and not some time later.
+func (qu *Query) withinOffer(at time.Time) time.Time {
+	if at.After(qu.pl.Offer) {
+		return qu.pl.Offer
+	}
+	return at
+}
+
+// Nobody says that nobody is left who could be asked for a shard and that nobody is
+// expected. Unless an attempt is under way, the shard is given up at once: held
+// until Offer, an answer would come late for a part that can't come. Beside an
+// attempt it only means that there is no hedge before the given time.
+func (qu *Query) Nobody(now time.Time, po int, ca Cause, again time.Time) {
+	sh := &qu.shards[po]
+	if sh.flying > 0 {
+		sh.next = again
+		return
+	}
+	if sh.cause < ca {
+		sh.cause = ca
+	}
+	qu.lose(sh)
+	qu.settle(now)
+}
+
+// Room says that a shard which waits for a server or a connection need not wait
+// any more.
+func (qu *Query) Room(now time.Time, po int) {
+	sh := &qu.shards[po]
+	if sh.flying == 0 && now.Before(sh.next) {
+		sh.next = now
 	}
 }
 
@@ -229,10 +277,12 @@
 	}
 }
 
-// busy has a shard asked again soon. Having no connection free is this
-// instance's own lack and no refusal of a backend server: counted as one, a burst
-// of requests right after a start, while connections are few, would fail within
-// milliseconds although the servers have room.
+// busy has a shard asked again soon, and later each time. Having no connection free
+// is this instance's own lack and no refusal of a backend server: counted as one, a
+// burst of requests right after a start, while connections are few, would fail
+// within milliseconds although the servers have room. For the same reason a part of
+// a merged answer is waited for as long as the other parts are, since Offer is Hold
+// there.
 func (qu *Query) busy(now time.Time, sh *shard) {
 	if sh.cause < CauseBusy {
 		sh.cause = CauseBusy
@@ -244,7 +294,11 @@
 		qu.lose(sh)
 		return
 	}
-	sh.next = now.Add(qu.pl.Pause)
+	sh.next = now.Add(qu.pl.Pause << min(sh.busy, busyDoublings))
+	sh.busy++
+	if sh.ran == 0 && sh.refused == 0 {
+		sh.next = qu.withinOffer(sh.next)
+	}
 }
 
 func (qu *Query) lose(sh *shard) {
