upstream: a server from which nothing comes is unreachable at once while others wait to learn it

Ruled out: the same after a connection that was refused. That comes back within milliseconds, and a server that restarts is reached by the next one.

Change: with all connections being opened and the last one given up without an answer, a request gets NotSent with ErrUnreachable. Nothing has left for it, so it may go elsewhere even if it may run only once.

Before: TestUnreachableWhileOpening/no_answer_before got NoConnection. After: go test ./upstream passes, with -race as well.

--- a/upstream/error.go
+++ b/upstream/error.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // Errors that callers may look for with errors.Is in Result.Err.
 var (
@@ -20,6 +23,10 @@
 	ErrDeadline = errors.New("deadline passed")
 )
 
+// errStillUnreachable is the error of a request for which no connection is tried,
+// since those that others wait for are the last that the server allows.
+var errStillUnreachable = fmt.Errorf("%w: connections are being opened, and the last one never was", ErrUnreachable)
+
 // What can be wrong with a reply or a connection.
 var (
 	errNotHTTP   = errors.New("reply is not HTTP")
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -92,12 +92,14 @@
 	limit     int
 	address   string
 	open      int
+	dialing   int     // dialing counts those of open that are being opened.
 	idle      []*conn // idle are in the order of their return, the newest last.
 	lingering []*conn // lingering await a reply that nobody wants, the oldest first.
 	waiters   []*waiter
 	retired   bool // retired says that the server is not in use any more.
 	gone      bool // gone says that the client has forgotten the pool.
 
+	dark          bool      // dark says that nothing came in answer to the last dial.
 	unreachable   bool      // unreachable says that the last dial failed and that it was logged.
 	unreachableAt time.Time // unreachableAt is when that was last logged.
 	wrongAt       time.Time // wrongAt is when wrong bytes were last logged.
@@ -113,6 +115,12 @@
 // take returns a connection for one request: the idle one that was used last, a
 // new one, or one that comes free while it may wait. It reports false if the
 // pool is of no use any more.
+//
+// If all that the server allows are being opened and nothing came in answer to the
+// last one, the server counts as unreachable at once. Otherwise each request would be
+// told that connections are in use, though nobody uses any, and try until its time
+// is over; another server, or an answer without this one, comes sooner. A connection
+// that is refused is no such case: the next one is soon known to be open or not.
 func (po *pool) take(ctx context.Context, ta Target, until time.Time) (grant, bool) {
 	now := po.cl.ts.Now()
 	if !until.IsZero() && !now.Before(until) {
@@ -133,6 +141,10 @@
 		po.evict()
 	}
 	wait := po.cl.cf.Wait
+	if po.open >= po.limit && po.dark && po.dialing == po.open {
+		po.mu.Unlock()
+		return grant{outcome: NotSent, err: errStillUnreachable}, true
+	}
 	if po.open >= po.limit && (wait <= 0 || len(po.waiters) >= maxWaiters) {
 		po.mu.Unlock()
 		return grant{outcome: NoConnection, err: ErrLimit}, true
@@ -189,7 +201,7 @@
 func (po *pool) retarget(ta Target) {
 	po.limit = ta.Connections
 	if po.address != ta.Address {
-		po.address = ta.Address
+		po.address, po.dark = ta.Address, false
 		po.closeIdle(func(*conn) bool { return true })
 	}
 }
@@ -232,6 +244,7 @@
 // connection, which costs it part of a slot, and would have to accept the next.
 func (po *pool) startDial(wa *waiter) {
 	po.open++
+	po.dialing++
 	wa.dialing = true
 	go po.dial(wa, po.address)
 }
@@ -242,6 +255,8 @@
 	nc, err := po.cl.cf.Connect(ctx, address)
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	po.dialing--
+	po.dark = err != nil && ctx.Err() != nil
 	if err != nil {
 		po.open--
 		po.grantTo(wa, po.dialFailure(address, err))
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -756,6 +756,53 @@
 	})
 }
 
+// A server's machine is gone, and a connection that waits to be opened for a caller
+// that has left is all that the server allows. It is known to be unreachable, so
+// that the next request need not wait to learn it. Before the first failure, and if
+// a connection was refused, nothing is known of the one that is being opened.
+func TestUnreachableWhileOpening(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		first func(ctx context.Context, address string) (net.Conn, error) // first fails the connection before; nil for none.
+		want  Outcome
+	}{
+		{"nothing before", nil, NoConnection},
+		{"no answer before", unreachable, NotSent},
+		{"refused before", func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }, NoConnection},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				qc := qt.New(t)
+				connect := tc.first
+				cl := newClient(qc, Config{Connect: func(ctx context.Context, address string) (net.Conn, error) {
+					return connect(ctx, address)
+				}})
+				ta := Target{ID: "i-1", Address: "192.0.2.1:1", Connections: 1}
+				if tc.first != nil {
+					qc.Assert(cl.Do(t.Context(), ta, get()).Outcome, qt.Equals, NotSent)
+				}
+				connect = unreachable
+				ctx, cancel := context.WithCancel(t.Context())
+				left := async(ctx, cl, ta, get())
+				synctest.Wait()
+				cancel()
+				qc.Assert((<-left).Outcome, qt.Equals, Canceled)
+				began := time.Now()
+				re := cl.Do(t.Context(), ta, get())
+				qc.Assert(re.Outcome, qt.Equals, tc.want)
+				qc.Assert(errors.Is(re.Err, ErrUnreachable), qt.Equals, tc.want == NotSent)
+				qc.Assert(re.Sent, qt.IsFalse)
+				qc.Assert(time.Since(began), qt.Equals, time.Duration(0))
+				checkCount(qc, cl, 1, 0)
+
+				time.Sleep(time.Second)
+				connect = chatter((*peerConn).answerAll, qc)
+				checkGood(qc, cl.Do(t.Context(), ta, get()), true)
+			})
+		})
+	}
+}
+
 func TestDialRefused(t *testing.T) {
 	qc := qt.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
