gateway: nobody is waited for who can't come; requests queue for connections

After a start, and when a service is new, its first server becomes known within a second. So a service is waited for until 2 s after a version first names it, unless a ready server was known since. Silence needs no word of its own: a server leaves the list only after seconds unheard by a connected control instance, and none while no control instance is connected. Before the 2 s are over, a service of which only draining servers are known is waited for too, as their successors may not be known.

Change: requests see an immutable picture of which services lack a ready server. Vacant shards are given up before any shard is asked, so that a request which can't be answered sends nothing, counts as no arrival in the retry budget, and gets 503 "not run" with when to come back. Requests without room wait in a queue for each service, the oldest first; the end of an exchange wakes the first that may ask that server, new servers or shares wake all, and who leaves passes its turn on. A look each 20 ms remains for room that the queue isn't told of. Hedges don't queue.

With arrivals counted for all shards, TestShardLeftAddsNoBudget fails; without the wake, TestPartsWaitForConnection and TestWaitingCallersLeave do. After: go test -race ./gateway passes; the new tests passed 30 times in a row.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	bu *budget.Budget
 	pk *route.Picker
 	ad *admit.Limiter
+	qu *queue
 
 	started time.Time
 
@@ -70,20 +71,24 @@
 	shares  atomic.Pointer[map[string]int]
 	refuse  atomic.Bool
 	closing atomic.Bool
+	seen    atomic.Pointer[picture]
 	active  atomic.Int64
 	mt      meters
 	newsAt  atomic.Int64 // newsAt is when the backend servers last changed, since started.
 
-	mu      sync.Mutex // mu guards what the shares are made from.
-	servers map[string][]registry.Server
-	limits  map[string]int // limits are how many connections a backend server takes, by service.
-	entries entryCount
+	mu       sync.Mutex // mu guards what the shares are made from.
+	servers  map[string][]registry.Server
+	limits   map[string]int // limits are how many connections a backend server takes, by service.
+	entries  entryCount
+	named    map[string]bool      // named are the services of the table in force.
+	expected map[string]time.Time // expected is until when a service may still get its first ready backend server.
 }
 
 // New returns a gateway that refuses all requests until it has a table.
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
-	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), limits: make(map[string]int)}
+	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), qu: newQueue(), limits: make(map[string]int), expected: make(map[string]time.Time)}
 	sv.shares.Store(&map[string]int{})
+	sv.seen.Store(&picture{})
 	sv.started = ts.Now()
 	sv.mt.begin(sv)
 	ts.Timeout(newFor, sv.share)
@@ -96,6 +101,9 @@
 
 // SetTable puts a table in force. Requests under way end on theirs.
 func (sv *Server) SetTable(tb *route.Table) {
+	sv.mu.Lock()
+	sv.expect(tb)
+	sv.mu.Unlock()
 	sv.tb.Store(tb)
 	sv.share()
 }
@@ -106,6 +114,7 @@
 	sv.re.Update(sv.ts.Now(), ses)
 	sv.mu.Lock()
 	sv.servers = ses
+	sv.draw()
 	sv.mu.Unlock()
 	sv.share()
 }
--- a/gateway/network_test.go
+++ b/gateway/network_test.go
@@ -39,10 +39,20 @@
 type pipes struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
+	dark      map[string]bool // dark are addresses from which nothing ever comes.
 	last      int
 }
 
-func newPipes() *pipes { return &pipes{listeners: make(map[string]*pipeListener)} }
+func newPipes() *pipes {
+	return &pipes{listeners: make(map[string]*pipeListener), dark: make(map[string]bool)}
+}
+
+// darken makes connections to an address never open.
+func (pi *pipes) darken(address string) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	pi.dark[address] = true
+}
 
 func (pi *pipes) listen(testing.TB) net.Listener {
 	pi.mu.Lock()
@@ -57,8 +67,12 @@
 
 func (pi *pipes) dial(ctx context.Context, address string) (net.Conn, error) {
 	pi.mu.Lock()
-	li := pi.listeners[address]
+	li, dark := pi.listeners[address], pi.dark[address]
 	pi.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if li == nil {
 		return nil, errRefused
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,7 +14,11 @@
 const (
 	noServerPause = 20 * time.Millisecond
 	budgetPause   = 25 * time.Millisecond
-	busyPause     = 4 * time.Millisecond
+	// busyPause is only for room that the queue is not told of, such as that of a
+	// connection that was opened for a caller who has left.
+	busyPause = 20 * time.Millisecond
+	// hedgePause is for a hedge, which doesn't queue.
+	hedgePause = 4 * time.Millisecond
 )
 
 // keepForRetries is the part of the retry budget that hedges leave for retries:
@@ -48,6 +52,7 @@
 	arrived  []bool            // arrived says that a request for the shard counts as arrived.
 	notes    []note            // notes tell of every attempt.
 	ends     chan ended
+	queueing queueing
 }
 
 // carry runs a query over the shards that the services hold and returns it with
@@ -66,9 +71,7 @@
 	}
 	cr.rq.Deadline = pl.Deadline
 	ca.cr = cr
-	for _, se := range services {
-		ca.sv.bu.Arrival(ca.start, se)
-	}
+	cr.begin(ca.sv.ts.Now())
 	return cr, cr.loop()
 }
 
@@ -78,6 +81,7 @@
 	caller := cr.ca.rq.Context()
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
 	defer cancel(upstream.ErrSuperseded)
+	defer cr.leaveQueue()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var wants []scatter.Want
@@ -94,6 +98,8 @@
 		select {
 		case en := <-cr.ends:
 			cr.ended(en)
+		case sh := <-cr.queueing.woken:
+			cr.roomFor(sh)
 		case <-timer.C:
 		case <-caller.Done():
 			// The caller has left: what it asked for ends at the backend servers too.
@@ -111,12 +117,12 @@
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
 	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable()}
-	pk, ok := sv.re.Choose(now, as)
+	pk, ok := cr.choose(now, wa, as)
 	if !ok {
-		ca, pause := cr.nobody(service)
-		cr.qu.Denied(now, wa.Shard, ca, now.Add(pause))
+		cr.nobody(now, wa)
 		return
 	}
+	cr.unqueue(wa.Shard)
 	var spent time.Time
 	if cr.costs(wa) {
 		if !sv.bu.Spend(now, service, keep(wa.Kind)) {
@@ -144,12 +150,16 @@
 	go cr.exchange(ctx, attempt{shard: wa.Shard, number: cr.began(now, wa, pk.Server.ID), pk: pk, spent: spent})
 }
 
-// nobody says why no backend server of a service could be chosen.
-func (cr *carrier) nobody(service string) (scatter.Cause, time.Duration) {
-	if cr.ca.sv.re.Ready(service) > 0 {
-		return scatter.CauseBusy, busyPause
+// choose chooses a backend server, or makes the shard wait in the queue for room at
+// one. It looks once more then: for room that came free just before, others were
+// woken. A hedge doesn't queue, or those who have no attempt at all would wait for it.
+func (cr *carrier) choose(now time.Time, wa scatter.Want, as replica.Ask) (replica.Pick, bool) {
+	re := cr.ca.sv.re
+	pk, ok := re.Choose(now, as)
+	if ok || wa.Kind == scatter.Hedge || !cr.join(wa.Shard) {
+		return pk, ok
 	}
-	return scatter.CauseNoServer, noServerPause
+	return re.Choose(now, as)
 }
 
 // costs reports whether an attempt is an arrival beyond the first. A retry is
@@ -173,6 +183,9 @@
 	rs := sv.up.Do(ctx, sv.target(se.Service, se.ID, se.Address), cr.rq)
 	now := sv.ts.Now()
 	sv.re.Done(now, at.pk, report(ctx, rs))
+	if rs.Outcome != upstream.NoConnection { // Two that find none would wake each other for ever.
+		sv.qu.wake(se.Service, se.ID)
+	}
 	if !at.spent.IsZero() && !arrives(rs) {
 		sv.bu.Return(now, at.spent, se.Service)
 	}
@@ -240,6 +253,9 @@
 		cr.replies[en.shard] = en.rs.Reply
 	}
 	cr.qu.Replied(cr.ca.sv.ts.Now(), en.shard, cr.ca.reply(en.rs))
+	if en.rs.Outcome == upstream.NoConnection && cr.qu.Waits(en.shard) {
+		cr.join(en.shard)
+	}
 }
 
 // retract lets a backend server be chosen again that was not asked after all.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -80,6 +80,7 @@
 	sv.shares.Store(&shares)
 	sv.re.Limit(shares)
 	sv.up.Retain(targets)
+	sv.qu.wakeAll()
 }
 
 // limit returns how many connections a backend server of a service takes, 0 if
