gateway: lines count and list what left

Change: Sent, Hedged and Retried count what may have left the machine. Attempts that found no connection aren't listed; a shard with no other attempt is listed as not asked, with the cause. An attempt to reach a server that can't be reached stays in the list, since it names that server, but isn't counted as sent. A late part is listed also where another part is missing.

--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -47,6 +47,10 @@
 	moved   bool
 }
 
+// unsent reports whether the attempt found no connection. Nothing was tried at the
+// server then, and a line that is full of such attempts hides those that were.
+func (no *note) unsent() bool { return no.ended && no.outcome == upstream.NoConnection }
+
 // began notes and counts an attempt and returns its number.
 func (cr *carrier) began(now time.Time, wa scatter.Want, server string) int {
 	if cr.notes == nil {
@@ -177,7 +181,7 @@
 }
 
 // list chooses the attempts that the line shows: those for shards without a part,
-// or, if the answer is whole and late, those for shards whose part was late.
+// and, if the answer is late, those for shards whose part was late.
 func (st story) list() listing {
 	cr := st.ca.cr
 	li := listing{cr: cr, took: st.took}
@@ -187,7 +191,7 @@
 		}
 		asked := false
 		for number := range cr.notes {
-			if int(cr.notes[number].shard) == sh {
+			if no := &cr.notes[number]; int(no.shard) == sh && !no.unsent() {
 				asked = true
 				li.add(number)
 			}
@@ -205,7 +209,7 @@
 
 // lateShard reports whether the part of a shard came later than the answer was due.
 func (st story) lateShard(sh int) bool {
-	if !st.late || st.ca.missed > 0 || st.ca.status >= http.StatusInternalServerError {
+	if !st.late || st.ca.status >= http.StatusInternalServerError {
 		return false
 	}
 	due := st.ca.ro.Aim - 2*st.ca.sv.cf.CallerDistance
--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -82,6 +82,7 @@
 	tw    *trail.Writer
 	ses   map[string][]registry.Server
 	doors map[string]*door
+	dark  string // dark is an address from which nothing ever comes.
 }
 
 // onLogged runs a test in virtual time.
@@ -103,7 +104,11 @@
 	return lo
 }
 
-func (lo *logged) connect(_ context.Context, address string) (net.Conn, error) {
+func (lo *logged) connect(ctx context.Context, address string) (net.Conn, error) {
+	if address == lo.dark {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	do := lo.doors[address]
 	if do == nil {
 		return nil, errors.New("refused")
@@ -368,6 +373,75 @@
 	})
 }
 
+// All connections to a server wait to be opened for callers that have left. The
+// next request looked for a free one each 5 ms, 35 times in all, and its line said
+// that as many requests were sent. Nothing was.
+func TestLineWithoutConnection(t *testing.T) {
+	onLogged(t, func(t *testing.T, lo *logged) {
+		lo.configure(route.Route{Targets: plain(), Aim: time.Second})
+		defer time.Sleep(time.Second) // The connection is given up by then.
+		lo.dark = "address of i-1"
+		lo.known("desk", "i-1", lo.dark, registry.Ready)
+		ctx, leave := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer leave()
+		first := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil).WithContext(ctx)
+		first.Header.Set(lineNames.RequestID, "r-0")
+		func() {
+			defer func() { qt.Check(t, recover(), qt.Equals, http.ErrAbortHandler) }()
+			lo.sv.ServeHTTP(httptest.NewRecorder(), first)
+		}()
+		began := lo.sv.ts.Now()
+		qt.Assert(t, lo.ask(t.Context()), qt.Equals, 503)
+		qt.Assert(t, lo.sv.ts.Now().Sub(began), qt.Equals, 200*time.Millisecond)
+		lo.want("warn request-failed", map[string]string{"Status": "503", "Code": "100", "Detail": "no connection was free", "Sent": "0", "Hedged": "0", "Retried": "0"},
+			"desk   NotAsked no connection was free, 1 known, 1 ready")
+		var sb strings.Builder
+		lo.sv.WriteMetrics(&sb)
+		tries := ""
+		for _, li := range strings.Split(sb.String(), "\n") {
+			if after, ok := strings.CutPrefix(li, `balsamwinch_attempts_ended_total{service="desk",end="NoConnection"} `); ok {
+				tries = after
+			}
+		}
+		qt.Assert(t, len(tries), qt.Equals, 1, qt.Commentf("%s tries", tries))
+	})
+}
+
+// One server refuses connections, another one takes the request. One request left
+// the machine, and the line says so.
+func TestLineCountsWhatLeft(t *testing.T) {
+	onLogged(t, func(t *testing.T, lo *logged) {
+		lo.configure(route.Route{Targets: plain(), Kind: route.NotRepeatable})
+		lo.known("desk", "i-1", "address of nobody", registry.Ready)
+		lo.known("desk", "i-2", "address of nobody else", registry.Ready)
+		lo.serve("desk", "i-3", cut)
+		lo.sv.re.Limit(map[string]int{"desk": 10})
+		qt.Assert(t, lo.ask(t.Context()), qt.Equals, 502)
+		qt.Assert(t, lo.line().Text("Sent"), qt.Equals, "1")
+	})
+}
+
+// An answer without one part was late, since another part was needed and came after
+// the aim. The line must name both: the one that is missing and the one that made it
+// late.
+func TestLineOfLatePartialAnswer(t *testing.T) {
+	onLogged(t, func(t *testing.T, lo *logged) {
+		lo.configure(route.Route{Shards: []string{"s-1", "s-2", "s-3"}, Aim: 50 * time.Millisecond, Merge: route.Merge{TopK: 5, RecordBytes: 16, LeastShare: 0.6}})
+		lo.serve("s-1", "i-1", good)
+		slow := func(span time.Duration) http.HandlerFunc {
+			return func(wr http.ResponseWriter, rq *http.Request) {
+				time.Sleep(span)
+				good(wr, rq)
+			}
+		}
+		lo.serve("s-2", "i-2", slow(80*time.Millisecond))
+		lo.serve("s-3", "i-3", slow(time.Second))
+		qt.Assert(t, lo.ask(t.Context()), qt.Equals, 200)
+		lo.want("warn request-answered", map[string]string{"Status": "200", "Code": "10", "Missing": "1", "Millis": "80"},
+			"s-2 i-2 First Answered 200", "s-3 i-3 First UnderWay")
+	})
+}
+
 // The caller leaves while a backend server works. Nothing can be answered any
 // more, and the line says so.
 func TestLineOfCallerThatLeft(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -246,6 +246,9 @@
 	if arrives(en.rs) {
 		cr.arrived[en.shard] = true
 	}
+	if !en.rs.Sent {
+		cr.uncount(en)
+	}
 	if en.rs.Outcome == upstream.NoConnection {
 		cr.retract(en)
 	}
@@ -258,6 +261,17 @@
 	}
 }
 
+// uncount takes an attempt of which nothing has left out of what the line counts.
+func (cr *carrier) uncount(en ended) {
+	cr.ca.sent--
+	switch cr.notes[en.number].kind {
+	case scatter.Hedge:
+		cr.ca.hedged--
+	case scatter.Retry:
+		cr.ca.again--
+	}
+}
+
 // retract lets a backend server be chosen again that was not asked after all.
 func (cr *carrier) retract(en ended) {
 	id := cr.notes[en.number].server
