trail: a line can be written before the call returns

A line waits up to 50 ms for others, and is lost with a process that is killed meanwhile.

A field AtOnce marks a line that is written, with all before it, before the call returns. A reader that stalls is waited for 20 ms once and then not again until the batch is written; the queue's bound, the count of dropped lines and the rate of the event hold as before.

Ruled out: Sync of the logger (waits 500 ms, each time, and for lines that come later); a standard output that doesn't block (the flag is shared with whoever else has the pipe); no delay for any line (a write costs as much as many lines).

--- a/trail/trail.go
+++ b/trail/trail.go
@@ -8,6 +8,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,9 @@
 	BatchDelay time.Duration
 	// CloseWithin bounds how long Close waits for the reader; default 500 ms.
 	CloseWithin time.Duration
+	// AtOnceWithin bounds how long a line with the field AtOnce waits for the
+	// reader; default 20 ms.
+	AtOnceWithin time.Duration
 	// Rate bounds the lines of each event up to the level info.
 	Rate Rate
 	// LoudRate bounds the lines of each event from the level warn on.
@@ -45,10 +49,11 @@
 
 // Defaults of Config.
 const (
-	defaultQueueBytes  = 1 << 20
-	defaultBatchBytes  = 32 << 10
-	defaultBatchDelay  = 50 * time.Millisecond
-	defaultCloseWithin = 500 * time.Millisecond
+	defaultQueueBytes   = 1 << 20
+	defaultBatchBytes   = 32 << 10
+	defaultBatchDelay   = 50 * time.Millisecond
+	defaultCloseWithin  = 500 * time.Millisecond
+	defaultAtOnceWithin = 20 * time.Millisecond
 )
 
 var (
@@ -69,6 +74,9 @@
 	if cf.CloseWithin <= 0 {
 		cf.CloseWithin = defaultCloseWithin
 	}
+	if cf.AtOnceWithin <= 0 {
+		cf.AtOnceWithin = defaultAtOnceWithin
+	}
 	cf.Rate = cf.Rate.or(defaultRate)
 	cf.LoudRate = cf.LoudRate.or(defaultLoudRate)
 	return cf
@@ -93,6 +101,15 @@
 	keyStack    = "Stack"
 )
 
+// AtOnce returns a field that doesn't show in the line and makes it be written
+// before the call returns, so that it outlives a process that is killed right
+// after. The call waits for a reader that is slow, for Config.AtOnceWithin at most
+// and not again for one that has stalled. It is for lines that say what the process
+// has acknowledged and how it lives, not for lines of requests.
+func AtOnce() zap.Field { return atOnce }
+
+var atOnce = zap.Field{Key: "AtOnce", Type: zapcore.SkipType}
+
 // The events of the log itself.
 const (
 	eventLeftOut = "lines-left-out" // Of names the event, Count says how many lines.
@@ -154,11 +171,14 @@
 	if err != nil {
 		return err
 	}
-	co.wr.append(bu.Bytes())
+	written := co.wr.append(bu.Bytes(), slices.ContainsFunc(fs, atOnce.Equals))
 	bu.Free()
 	if ent.Level > zapcore.ErrorLevel {
 		return co.Sync() // The process ends after this line.
 	}
+	if written != nil {
+		co.wr.await(written)
+	}
 	return nil
 }
 
--- a/trail/writer.go
+++ b/trail/writer.go
@@ -55,6 +55,8 @@
 	noting  bool // noting says that a note of left-out lines is due.
 	note    *timer.Timeout
 	idle    chan struct{} // idle is closed when all is written; nil if nobody waits.
+	taken   chan struct{} // taken is closed when what is in queue now is written; nil if nobody waits.
+	stalled bool          // stalled says that a wait for the batch being written was given up.
 	dropped dropped
 	st      Stats
 }
@@ -223,21 +225,63 @@
 	bu.Free()
 }
 
-// append queues a line, or counts it as dropped if there is no room.
-func (wr *Writer) append(line []byte) {
+// append queues a line, or counts it as dropped if there is no room. If the line
+// is to be written at once, that is begun, and the channel is closed when it is
+// done; it is nil if there is nothing to wait for.
+func (wr *Writer) append(line []byte, atOnce bool) (written <-chan struct{}) {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
 	if wr.closed {
-		return
+		return nil
 	}
 	if wr.full(len(line)) {
 		wr.dropped.lines++
 		wr.dropped.bytes += uint64(len(line))
 		wr.st.Dropped++
-		return
+		return nil
 	}
 	wr.noteDropped()
 	wr.put(line)
+	if !atOnce {
+		return nil
+	}
+	wr.start()
+	if wr.stalled {
+		return nil
+	}
+	if wr.taken == nil {
+		wr.taken = make(chan struct{})
+	}
+	return wr.taken
+}
+
+// await waits until a line is written, for Config.AtOnceWithin at most.
+//
+// Without it, a process that is killed loses the lines of its last moments, and
+// with them what it told an operator: the change is in force after the next start,
+// and no log says who asked for it. A write to a pipe or file that has returned
+// outlives the process. A reader that stalls must not hold up the answers of the
+// process, so the wait is bounded, and as long as the batch for which it was given
+// up is being written nobody waits again.
+func (wr *Writer) await(written <-chan struct{}) {
+	late := make(chan struct{})
+	defer wr.ts.Timeout(wr.cf.AtOnceWithin, func() { close(late) }).Stop()
+	select {
+	case <-written:
+	case <-late:
+		wr.giveUp(written)
+	}
+}
+
+// giveUp notes that a wait was in vain, unless it has just ended.
+func (wr *Writer) giveUp(written <-chan struct{}) {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	select {
+	case <-written:
+	default:
+		wr.stalled = true
+	}
 }
 
 // put adds a line to the queue and makes sure that it is written soon.
@@ -293,11 +337,17 @@
 		batch := wr.queue
 		wr.queue, wr.spare = wr.spare, nil
 		wr.writing = len(batch)
+		taken := wr.taken
+		wr.taken = nil
 		wr.mu.Unlock()
 		failed := wr.writeLines(batch)
 		wr.mu.Lock()
 		wr.st.Failed += failed
 		wr.writing, wr.spare = 0, reusable(batch)
+		wr.stalled = false
+		if taken != nil {
+			close(taken)
+		}
 		wr.mu.Unlock()
 	}
 }
