tier: what is acknowledged is in the log before the answer

configuration-asked and configuration-read are written at once, and so are instance-starting, instance-stopping, callers-served, instance-stopped, settings-reloaded and settings-refused. Lines about requests, backend servers and links are not: there are too many, and none says what an operator was told. document-committed neither: it is written on the goroutine that takes part in the group, and the instance that the operator asked has its line.

The line service-event has its fault in Detail; a second field Event was hidden from whoever reads the line as JSON. The two kinds of instance end by one function.

--- a/emulate/servers.go
+++ b/emulate/servers.go
@@ -23,7 +23,7 @@
 func StartServers(cfs []Config, control []string, ts *timer.Service, lg *zap.Logger) (*Servers, error) {
 	ss := &Servers{byID: make(map[string]*Server), co: NewControl(control)}
 	sp := suture.New("backend servers", suture.Spec{
-		EventHook: func(ev suture.Event) { lg.Warn("service-event", zap.String("Event", ev.String())) },
+		EventHook: func(ev suture.Event) { lg.Warn("service-event", zap.String("Detail", ev.String())) },
 	})
 	for _, cf := range cfs {
 		se, err := New(cf, ss.co, ts, lg)
--- a/tier/control.go
+++ b/tier/control.go
@@ -12,6 +12,7 @@
 	"balsamwinch.example/registry"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 )
 
 // Times of a control instance.
@@ -63,18 +64,17 @@
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
 	sp.Add(service{"memory", me.serve})
-	run, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := sp.ServeBackground(run)
-	<-ctx.Done()
-	lg.Info("instance-stopping")
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	serveUntil(ctx, sp, co.leave)
+	return nil
+}
+
+// leave hands the lead over and goes on answering for a moment.
+func (co *control) leave() {
+	co.lg.Info("instance-stopping", trail.AtOnce())
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	co.nd.Resign(last)
 	<-last.Done()
-	stop()
-	<-done
-	return nil
 }
 
 // handle serves a link that another instance opened; its first message says
@@ -110,7 +110,7 @@
 	start := co.ts.Now()
 	err := co.nd.Propose(ctx, version, data)
 	co.lg.Info("configuration-asked", zap.Uint64("Version", version), zap.Int("Bytes", len(data)), zap.Bool("Accepted", err == nil),
-		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err))
+		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err), trail.AtOnce())
 	return err
 }
 
@@ -122,7 +122,7 @@
 	if err == nil && version == 0 {
 		err = &result.Error{Code: result.ControlUnavailable, Op: "read configuration", Detail: "none was accepted yet"}
 	}
-	co.lg.Info("configuration-read", zap.Uint64("Version", version), zap.Error(err))
+	co.lg.Info("configuration-read", zap.Uint64("Version", version), zap.Error(err), trail.AtOnce())
 	return version, data, err
 }
 
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -15,6 +15,7 @@
 	"balsamwinch.example/replica"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 	"balsamwinch.example/upstream"
 )
 
@@ -72,13 +73,7 @@
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, re, ts, lg) }})
-	run, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := sp.ServeBackground(run)
-	<-ctx.Done()
-	en.leave(se.Timing.StopWithin, ts)
-	stop()
-	<-done
+	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
 }
 
@@ -92,7 +87,7 @@
 	en.stop.Store(true)
 	en.su.SetState(feed.Draining)
 	en.gw.CloseAfterAnswer()
-	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within))
+	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within), trail.AtOnce())
 	ctx := context.Background()
 	_ = ts.Sleep(ctx, within-answerWithin-exitBefore)
 	en.gw.Refuse()
@@ -100,7 +95,7 @@
 	defer cancel()
 	err := en.gw.WaitIdle(ctx)
 	en.door.Close(ctx)
-	en.lg.Info("callers-served", zap.Int("Active", en.gw.Active()), zap.Error(err))
+	en.lg.Info("callers-served", zap.Int("Active", en.gw.Active()), zap.Error(err), trail.AtOnce())
 }
 
 // ConfigurationChanged puts a configuration in force.
--- a/tier/run.go
+++ b/tier/run.go
@@ -18,6 +18,7 @@
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 )
 
 // Times of links between instances. A silent link is found within linkSilence,
@@ -41,8 +42,8 @@
 	sh := newShared(se)
 	go sh.follow(ctx, changes, lg)
 	lg.Info("instance-starting", zap.String("Name", se.Name), zap.String("DataCentre", se.DataCentre),
-		zap.Bool("Entry", se.Entry()), zap.Bool("Control", se.Control()), zap.Int("ProcessID", os.Getpid()), zap.Bool("FirstStart", se.FirstStart))
-	defer lg.Info("instance-stopped", zap.String("Name", se.Name))
+		zap.Bool("Entry", se.Entry()), zap.Bool("Control", se.Control()), zap.Int("ProcessID", os.Getpid()), zap.Bool("FirstStart", se.FirstStart), trail.AtOnce())
+	defer lg.Info("instance-stopped", zap.String("Name", se.Name), trail.AtOnce())
 	lc := linkConfig(ts)
 	mws = append(mws, writeProcess(ts.Now(), ts.Now))
 	if se.Control() {
@@ -89,10 +90,22 @@
 // supervise returns a supervisor that logs failures of its services.
 func supervise(name string, lg *zap.Logger) *suture.Supervisor {
 	return suture.New(name, suture.Spec{
-		EventHook: func(ev suture.Event) { lg.Warn("service-event", zap.String("Event", ev.String())) },
+		EventHook: func(ev suture.Event) { lg.Warn("service-event", zap.String("Detail", ev.String())) },
 	})
 }
 
+// serveUntil runs the supervisor's services until the context has ended and leave,
+// which is called then, has returned.
+func serveUntil(ctx context.Context, sp *suture.Supervisor, leave func()) {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := sp.ServeBackground(run)
+	<-ctx.Done()
+	leave()
+	stop()
+	<-done
+}
+
 // serveHTTP adds a listener with a handler to the supervisor.
 func serveHTTP(sp *suture.Supervisor, name, address string, ha http.Handler) error {
 	if address == "" {
--- a/tier/shared.go
+++ b/tier/shared.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"go.uber.org/zap"
+
+	"balsamwinch.example/trail"
 )
 
 // shared holds the settings in force, of which the seeds may change while the
@@ -32,7 +34,7 @@
 			return
 		case se := <-changes:
 			was := sh.se.Swap(&se)
-			lg.Info("settings-reloaded", zap.Bool("SeedsChanged", !slices.Equal(was.Seeds, se.Seeds)), zap.Strings("Seeds", se.Seeds))
+			lg.Info("settings-reloaded", zap.Bool("SeedsChanged", !slices.Equal(was.Seeds, se.Seeds)), zap.Strings("Seeds", se.Seeds), trail.AtOnce())
 		}
 	}
 }
--- a/tier/watch.go
+++ b/tier/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 )
 
 // watchPeriod is how often the settings file is looked at: it may change
@@ -37,7 +38,7 @@
 		last = data
 		se, err := Parse(file, data)
 		if err != nil {
-			lg.Warn("settings-refused", zap.Error(err))
+			lg.Warn("settings-refused", zap.Error(err), trail.AtOnce())
 			continue
 		}
 		select {
--- a/tier/world_test.go
+++ b/tier/world_test.go
@@ -58,11 +58,14 @@
 // instance is one instance of the tier.
 type instance struct {
 	se   tier.Settings
+	lg   *zap.Logger
+	mws  []tier.MetricsWriter
 	stop context.CancelFunc
 	done chan error
 }
 
-func newWorld(t *testing.T, controls, entries int) *world {
+// newWorld starts the instances. What is given is called for each one before.
+func newWorld(t *testing.T, controls, entries int, prepare ...func(in *instance)) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	wd := &world{
 		t: t, ctx: ctx, instances: make(map[string]*instance), listeners: make(map[string]net.Listener),
@@ -86,7 +89,7 @@
 		se.FirstStart = true
 		se.Limits.MemoryMegabytes = 4096
 		se.Timing.Announcement, se.Timing.StopWithin = announceEvery, stopWithin
-		in := &instance{se: se}
+		in := &instance{se: se, lg: zap.NewNop()}
 		if ix < controls {
 			in.se.Name = "control-" + ip
 			in.se.DataFolder = t.TempDir()
@@ -102,6 +105,9 @@
 		for _, co := range wd.controls {
 			in.se.Seeds = append(in.se.Seeds, co.se.Listen.Control)
 		}
+		for _, pr := range prepare {
+			pr(in)
+		}
 		qt.Assert(t, in.se.Check(), qt.IsNil)
 		wd.start(in)
 	}
@@ -159,7 +165,7 @@
 func (wd *world) start(in *instance) {
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop, in.done = stop, make(chan error, 1)
-	go func() { in.done <- tier.Run(ctx, in.se, nil, platform.Dialect{}, zap.NewNop()) }()
+	go func() { in.done <- tier.Run(ctx, in.se, nil, platform.Dialect{}, in.lg, in.mws...) }()
 }
 
 // end stops an instance and returns how it ended.
