tier: a line for each second in which look-ups get no address

A control instance writes look-ups-without-address at the end of such a second: how many look-ups, how many entry instances have a link to it, and how many of these start or stop. The states follow from the first message of a link and from the list of ready instances, which is empty whenever a look-up gets nothing; one that was ready only between two looks at that list counts as starting.

Ruled out: a line for each look-up (bounded by the rate of the log, but then without the count); the states from the publisher, which tells only of ready instances.

--- a/tier/control.go
+++ b/tier/control.go
@@ -34,12 +34,13 @@
 	sh *shared
 	nd *fleet.Node
 	pu *feed.Publisher
+	lu *lookUps
 	lg *zap.Logger
 	ts *timer.Service
 }
 
 func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
-	co := &control{sh: sh, lg: lg, ts: ts}
+	co := &control{sh: sh, lu: newLookUps(ts, lg), lg: lg, ts: ts}
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
 	me := memory{dir: se.DataFolder, pu: co.pu, ts: ts, lg: lg}
 	me.restore(se.Timing.Announcement)
@@ -64,6 +65,7 @@
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
 	sp.Add(service{"memory", me.serve})
+	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.Entries) }})
 	serveUntil(ctx, sp, co.leave)
 	return nil
 }
@@ -85,6 +87,8 @@
 		return
 	}
 	if su, ok := first.(feed.Subscribe); ok {
+		co.lu.opened(su.Name, su.State)
+		defer co.lu.closed(su.Name)
 		co.pu.Handle(ctx, cn, su)
 		return
 	}
@@ -137,5 +141,7 @@
 
 // Addresses returns the entry instances to use, those of the data centre first.
 func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
-	return addresses(co.pu.Entries(), dataCentre), co.sh.se.Load().Timing.AddressTTL
+	ready := co.pu.Entries()
+	co.lu.note(ready)
+	return addresses(ready, dataCentre), co.sh.se.Load().Timing.AddressTTL
 }
--- a/tier/acknowledge_test.go
+++ b/tier/log_test.go
@@ -78,3 +78,25 @@
 	qt.Assert(t, co.end(), qt.IsNil)
 	qt.Assert(t, lr.take(), qt.Equals, "")
 }
+
+// Callers ask where to connect while no entry instance can serve them: before the
+// first has linked, and while it waits for a configuration. The control instance
+// that they ask says so in its log, and no more once it has an answer.
+func TestLookUpsInLog(t *testing.T) {
+	lr := &logReader{}
+	wd := newWorld(t, 1, 1, func(in *instance) {
+		in.se.Losses = 0
+		if in.se.Control() {
+			in.lg, _ = trail.New(lr, trail.Config{}, timer.New())
+		}
+	})
+	co, text := wd.controls[0], ""
+	wd.await("a line about look-ups", func() bool {
+		qt.Assert(t, wd.resolve(co, "north"), qt.HasLen, 0)
+		text += lr.take()
+		return strings.Contains(text, `"Entries":1,"Starting":1,"Draining":0}`)
+	})
+	qt.Assert(t, text, qt.Matches, `(?s).*"Level":"warn","Time":"[^"]+","Event":"look-ups-without-address","Count":\d+,"LookUps":\d+,"Entries":.*`)
+	wd.configure(config(3, "s1", "/first/"), co)
+	wd.resolved(co, wd.entries[0])
+}
