--- a/emulate/announce.go
+++ b/emulate/announce.go
@@ -86,7 +86,7 @@
 		switch {
 		case err == nil && status == http.StatusOK:
 			return data, nil
-		case err == nil && status == http.StatusBadRequest:
+		case err == nil && (status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge):
 			return nil, &result.Error{Code: result.NotRunBadRequest, Op: method + " " + path, Detail: string(data)}
 		case err == nil:
 			err = fmt.Errorf("status %d: %s", status, data)
--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if err := ch.co.Accept(rq.Context(), tb.Version(), data); err != nil {
-		writeFault(wr, http.StatusServiceUnavailable, err.Error())
+		writeFault(wr, tier.AcceptStatus(err), err.Error())
 		return
 	}
 	writeJSON(wr, http.StatusOK, struct{}{})
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/registry"
+	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 	"balsamwinch.example/timer"
 )
@@ -290,6 +292,46 @@
 	qt.Assert(t, co.Configure(t.Context(), data), qt.IsNotNil)
 }
 
+// An operator sends a sound configuration that is larger than control keeps. It is
+// told so, as in every other dialect, and the client doesn't send it again to the
+// next instance, as it does one whose outcome is unknown.
+func TestConfigurationTooLarge(t *testing.T) {
+	tests := []struct {
+		name   string
+		err    error
+		status int
+		code   result.Code
+		asked  int64
+	}{
+		{"accepted", nil, http.StatusOK, 0, 1},
+		{"larger than control keeps", &result.Error{Code: result.Invalid, Op: "propose document"}, http.StatusRequestEntityTooLarge, result.NotRunBadRequest, 1},
+		{"not sure", &result.Error{Code: result.ControlUnavailable, Op: "propose document"}, http.StatusServiceUnavailable, result.ControlUnavailable, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ha := Dialect{}.ControlHandler(&calls{heard: &heard{err: tt.err}})
+			var asked atomic.Int64
+			hs := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+				asked.Add(1)
+				re := httptest.NewRecorder()
+				ha.ServeHTTP(re, rq)
+				qt.Check(t, re.Code, qt.Equals, tt.status)
+				wr.WriteHeader(re.Code)
+			}))
+			defer hs.Close()
+			co := NewControl([]string{hs.Listener.Addr().String(), hs.Listener.Addr().String()})
+			defer co.Close()
+			err := co.Configure(t.Context(), testConfiguration(7).Encode())
+			var re *result.Error
+			qt.Assert(t, errors.As(err, &re), qt.Equals, tt.err != nil)
+			if re != nil {
+				qt.Assert(t, re.Code, qt.Equals, tt.code)
+			}
+			qt.Assert(t, asked.Load(), qt.Equals, tt.asked)
+		})
+	}
+}
+
 func TestConfiguration(t *testing.T) {
 	tb, err := Dialect{}.Table([]byte(`
 Version: 3
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/registry"
+	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 )
 
@@ -42,6 +44,24 @@
 	BodyLimit() int64
 }
 
+// AcceptStatus returns the HTTP status with which a dialect answers an operator
+// whose configuration was sound and was given to Accept, which returned the error.
+// 200 says that it is accepted. 413 says that it is larger than control keeps: a
+// sound one is invalid for control only for that, and 5xx would have the operator
+// send it again for ever. 503 says that the outcome is unknown and that it is to be
+// sent again.
+func AcceptStatus(err error) int {
+	var re *result.Error
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.As(err, &re) && re.Code == result.Invalid:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
 // AddressCalls answer callers that ask where to connect.
 type AddressCalls interface {
 	// Addresses returns the entry instances to use, those in the data centre
--- /dev/null
+++ b/tier/dialect_test.go
@@ -0,0 +1,39 @@
+package tier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"balsamwinch.example/fleet"
+	"balsamwinch.example/result"
+	"balsamwinch.example/timer"
+)
+
+// An operator's command goes on for ever with a configuration that can never be
+// accepted, or gives up one that may be in force.
+func TestAcceptStatus(t *testing.T) {
+	tests := []struct {
+		err  error
+		want int
+	}{
+		{nil, http.StatusOK},
+		{&result.Error{Code: result.Invalid}, http.StatusRequestEntityTooLarge},
+		{fmt.Errorf("accept: %w", &result.Error{Code: result.Invalid}), http.StatusRequestEntityTooLarge},
+		{&result.Error{Code: result.ControlUnavailable}, http.StatusServiceUnavailable},
+		{&result.Error{Code: result.NotLeader}, http.StatusServiceUnavailable},
+		{context.DeadlineExceeded, http.StatusServiceUnavailable},
+		{errors.New("no leader"), http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		qt.Check(t, AcceptStatus(tt.err), qt.Equals, tt.want, qt.Commentf("%v", tt.err))
+	}
+	nd := fleet.New(fleet.Config{Name: "control-1", Dir: t.TempDir()}, timer.New(), zap.NewNop(), nil)
+	err := nd.Propose(t.Context(), 7, make([]byte, fleet.DocumentLimit+1))
+	qt.Assert(t, AcceptStatus(err), qt.Equals, http.StatusRequestEntityTooLarge)
+}
