tier: Drain and Apply bound how long a silent link goes unnoticed

Both settings were filled in by the template, read and used by nobody. They are the times in which news must have arrived at entry instances. What can keep news longest from an instance that goes on serving is a link that was cut without a reset; its silence was found after 1.2 s whatever the bounds.

The silence is now 0.4 of the shorter bound, between 0.6 and 1.2 s. The deployments known so far, with 3 and 4 s, keep 1.2 s and pings each 0.3 s; one with less than 3 s gets a shorter silence.

Ruled out: to remove them, as a settings file that was written with them would be refused as having unknown fields; to stretch the silence with longer bounds, which gains nothing; to lengthen the time that an entry instance serves on when it stops by Drain, which is about backend servers.

Run: TestLinkSilence. The effect in a deployment with tighter bounds was not measured.

--- a/tier/run.go
+++ b/tier/run.go
@@ -21,12 +21,20 @@
 	"balsamwinch.example/trail"
 )
 
-// Times of links between instances. A silent link is found within linkSilence,
-// far within the time in which a change must be in force.
+// Times of links between instances.
 const (
-	linkDial    = 250 * time.Millisecond
-	linkPing    = 300 * time.Millisecond
-	linkSilence = 1200 * time.Millisecond
+	linkDial = 250 * time.Millisecond
+	// linkSilenceMost and linkSilenceLeast bound the time after which a silent link
+	// is given up. Below the least, a machine that is slow for a moment would lose
+	// its links, and all pictures would be sent again.
+	linkSilenceMost  = 1200 * time.Millisecond
+	linkSilenceLeast = 600 * time.Millisecond
+	// linkSilenceShare is the part of the time in which news must have arrived that
+	// finding a silent link may take; the rest is for a new one, which takes half a
+	// second with its pause and the dial.
+	linkSilenceShare = 0.4
+	// linkPings is how many pings a link sends within the silence.
+	linkPings = 4
 )
 
 // memoryShare is the part of the memory limit that the Go runtime aims at; the
@@ -44,7 +52,7 @@
 	lg.Info("instance-starting", zap.String("Name", se.Name), zap.String("DataCentre", se.DataCentre),
 		zap.Bool("Entry", se.Entry()), zap.Bool("Control", se.Control()), zap.Int("ProcessID", os.Getpid()), zap.Bool("FirstStart", se.FirstStart), trail.AtOnce())
 	defer lg.Info("instance-stopped", zap.String("Name", se.Name), trail.AtOnce())
-	lc := linkConfig(ts)
+	lc := linkConfig(se.Timing, ts)
 	mws = append(mws, writeProcess(ts.Now(), ts.Now))
 	if se.Control() {
 		return runControl(ctx, se, sh, di, lc, ts, lg, mws)
@@ -52,16 +60,29 @@
 	return runEntry(ctx, se, sh, di, lc, ts, lg, mws)
 }
 
-func linkConfig(ts *timer.Service) link.Config {
+func linkConfig(ti Timing, ts *timer.Service) link.Config {
+	silence := ti.linkSilence()
 	return link.Config{
 		Codec:   peer.NewCodec(link.Messages(), quorum.Messages(), fleet.Messages(), feed.Messages()),
 		TS:      ts,
 		Dial:    linkDial,
-		Ping:    linkPing,
-		Silence: linkSilence,
+		Ping:    silence / linkPings,
+		Silence: silence,
 	}
 }
 
+// linkSilence returns the time after which a silent link is given up.
+//
+// One link of an entry instance is cut without a reset, and the instance goes on
+// serving: it sends requests to a backend server that has left, and handles them as
+// an older configuration says, until it finds that the link is silent and opens
+// another one. Drain and Apply bound that time, so the silence is a part of the
+// shorter one.
+func (ti Timing) linkSilence() time.Duration {
+	share := time.Duration(linkSilenceShare * float64(min(ti.Drain, ti.Apply)))
+	return min(max(share, linkSilenceLeast), linkSilenceMost)
+}
+
 // openListener opens a listener. Tests give out listeners that they hold already,
 // since a port that was free a moment ago may be taken.
 var openListener = net.Listen
--- a/tier/run_test.go
+++ b/tier/run_test.go
@@ -40,3 +40,23 @@
 		qt.Assert(t, out.String(), qt.Matches, `(?s).*"Event":"service-event","Detail":".*frail.*`)
 	})
 }
+
+// A deployment bounds the time in which news must have arrived more tightly than
+// others. Its links must be found silent early enough for a new one; the deployments
+// with the usual bounds keep their times.
+func TestLinkSilence(t *testing.T) {
+	tests := []struct{ drain, apply, want time.Duration }{
+		{Defaults().Timing.Drain, Defaults().Timing.Apply, 1200 * time.Millisecond},
+		{4 * time.Second, 4 * time.Second, 1200 * time.Millisecond},
+		{3 * time.Second, 2 * time.Second, 800 * time.Millisecond},
+		{2 * time.Second, time.Hour, 800 * time.Millisecond},
+		{3 * time.Second, 2500500 * time.Microsecond, 1000200 * time.Microsecond},
+		{time.Second, 3 * time.Second, 600 * time.Millisecond},
+		{0, 3 * time.Second, 600 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		lc := linkConfig(Timing{Drain: tt.drain, Apply: tt.apply}, timer.New())
+		qt.Check(t, lc.Silence, qt.Equals, tt.want, qt.Commentf("%v %v", tt.drain, tt.apply))
+		qt.Check(t, lc.Ping, qt.Equals, tt.want/4)
+	}
+}
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -51,11 +51,14 @@
 
 // Timing holds the times of an instance.
 type Timing struct {
-	Announcement   time.Duration // Announcement is how often a backend server announces itself.
-	AddressTTL     time.Duration // AddressTTL is how long callers may keep an address list.
-	StopWithin     time.Duration // StopWithin is how long a planned stop may take.
-	Drain          time.Duration // Drain is how long a leaving backend server may still get requests.
-	Apply          time.Duration // Apply is within what a configuration must be in force.
+	Announcement time.Duration // Announcement is how often a backend server announces itself.
+	AddressTTL   time.Duration // AddressTTL is how long callers may keep an address list.
+	StopWithin   time.Duration // StopWithin is how long a planned stop may take.
+	// Drain is how long a backend server that says that it leaves may still get
+	// requests, and Apply is within what a configuration must be in force. Links that
+	// fall silent are found within a part of the shorter one.
+	Drain          time.Duration
+	Apply          time.Duration
 	CallerDistance time.Duration // CallerDistance is the one-way time to callers.
 	Election       time.Duration
 	Heartbeat      time.Duration
