--- a/emulate/configuration.go
+++ b/emulate/configuration.go
@@ -26,7 +26,6 @@
 	Kind        string // Kind is Repeatable or NotRepeatable; default NotRepeatable.
 	Timeout     time.Duration
 	Aim         time.Duration
-	Rank        int
 	MaxAttempts int
 	Service     string
 	Weights     map[string]int // Weights divides the requests among services.
@@ -75,7 +74,7 @@
 func (ro Route) encode() map[string]any {
 	out := map[string]any{
 		"Name": ro.Name, "Host": ro.Host, "Prefix": ro.Prefix, "Timeout": ro.Timeout.String(), "Aim": ro.Aim.String(),
-		"Rank": ro.Rank, "MaxAttempts": ro.MaxAttempts,
+		"MaxAttempts": ro.MaxAttempts,
 	}
 	if ro.Kind != "" {
 		out["Kind"] = ro.Kind
@@ -115,7 +114,7 @@
 
 func (ro Route) route() (route.Route, error) {
 	out := route.Route{
-		Name: ro.Name, Host: ro.Host, Prefix: ro.Prefix, Timeout: ro.Timeout, Aim: ro.Aim, Rank: ro.Rank,
+		Name: ro.Name, Host: ro.Host, Prefix: ro.Prefix, Timeout: ro.Timeout, Aim: ro.Aim,
 		MaxAttempts: ro.MaxAttempts, Shards: ro.Shards,
 	}
 	switch ro.Kind {
--- a/route/route.go
+++ b/route/route.go
@@ -54,7 +54,6 @@
 	Kind        Kind
 	Timeout     time.Duration // Timeout is the longest time that a caller is kept waiting.
 	Aim         time.Duration // Aim is the time within which an answer has its full worth; 0 if there is none.
-	Rank        int           // Rank orders routes under load; 0 is the most urgent.
 	MaxAttempts int           // MaxAttempts bounds the backend servers asked for one request, for each shard; below 1 it means 1.
 	Targets     []Target      // Targets has one element for a plain route and several for a split one.
 	Shards      []string      // Shards are the services that hold one shard each.
