--- a/tier/world_test.go
+++ b/tier/world_test.go
@@ -99,6 +99,7 @@
 			in.se.Listen = tier.Listen{Callers: wd.hold(ip), Ready: wd.hold(ip)}
 			wd.entries = append(wd.entries, in)
 		}
+		in.se.Metrics = wd.hold(ip)
 		wd.instances[in.se.Name] = in
 	}
 	for _, in := range wd.instances {
