--- a/tier/control.go
+++ b/tier/control.go
@@ -12,6 +12,7 @@
 	"balsamwinch.example/registry"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 )
 
 // Times of a control instance.
@@ -33,12 +34,13 @@
 	sh *shared
 	nd *fleet.Node
 	pu *feed.Publisher
+	lu *lookUps
 	lg *zap.Logger
 	ts *timer.Service
 }
 
 func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
-	co := &control{sh: sh, lg: lg, ts: ts}
+	co := &control{sh: sh, lu: newLookUps(ts, lg), lg: lg, ts: ts}
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
 	me := memory{dir: se.DataFolder, pu: co.pu, ts: ts, lg: lg}
 	me.restore(se.Timing.Announcement)
@@ -63,18 +65,18 @@
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
 	sp.Add(service{"memory", me.serve})
-	run, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := sp.ServeBackground(run)
-	<-ctx.Done()
-	lg.Info("instance-stopping")
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.Entries) }})
+	serveUntil(ctx, sp, co.leave)
+	return nil
+}
+
+// leave hands the lead over and goes on answering for a moment.
+func (co *control) leave() {
+	co.lg.Info("instance-stopping", trail.AtOnce())
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	co.nd.Resign(last)
 	<-last.Done()
-	stop()
-	<-done
-	return nil
 }
 
 // handle serves a link that another instance opened; its first message says
@@ -85,6 +87,8 @@
 		return
 	}
 	if su, ok := first.(feed.Subscribe); ok {
+		co.lu.opened(su.Name, su.State)
+		defer co.lu.closed(su.Name)
 		co.pu.Handle(ctx, cn, su)
 		return
 	}
@@ -110,7 +114,7 @@
 	start := co.ts.Now()
 	err := co.nd.Propose(ctx, version, data)
 	co.lg.Info("configuration-asked", zap.Uint64("Version", version), zap.Int("Bytes", len(data)), zap.Bool("Accepted", err == nil),
-		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err))
+		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err), trail.AtOnce())
 	return err
 }
 
@@ -122,7 +126,7 @@
 	if err == nil && version == 0 {
 		err = &result.Error{Code: result.ControlUnavailable, Op: "read configuration", Detail: "none was accepted yet"}
 	}
-	co.lg.Info("configuration-read", zap.Uint64("Version", version), zap.Error(err))
+	co.lg.Info("configuration-read", zap.Uint64("Version", version), zap.Error(err), trail.AtOnce())
 	return version, data, err
 }
 
@@ -137,5 +141,7 @@
 
 // Addresses returns the entry instances to use, those of the data centre first.
 func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
-	return addresses(co.pu.Entries(), dataCentre), co.sh.se.Load().Timing.AddressTTL
+	ready := co.pu.Entries()
+	co.lu.note(ready)
+	return addresses(ready, dataCentre), co.sh.se.Load().Timing.AddressTTL
 }
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -16,6 +16,7 @@
 	"balsamwinch.example/replica"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/trail"
 	"balsamwinch.example/upstream"
 )
 
@@ -76,13 +77,7 @@
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"news", func(ctx context.Context) error { return en.tellNews(ctx) }})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, re, ts, lg) }})
-	run, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := sp.ServeBackground(run)
-	<-ctx.Done()
-	en.leave(se.Timing.StopWithin, ts)
-	stop()
-	<-done
+	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
 }
 
@@ -96,7 +91,7 @@
 	en.stop.Store(true)
 	en.su.SetState(feed.Draining)
 	en.gw.CloseAfterAnswer()
-	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within))
+	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within), trail.AtOnce())
 	ctx := context.Background()
 	_ = ts.Sleep(ctx, within-answerWithin-exitBefore)
 	en.gw.Refuse()
@@ -104,7 +99,7 @@
 	defer cancel()
 	err := en.gw.WaitIdle(ctx)
 	en.door.Close(ctx)
-	en.lg.Info("callers-served", zap.Int("Active", en.gw.Active()), zap.Error(err))
+	en.lg.Info("callers-served", zap.Int("Active", en.gw.Active()), zap.Error(err), trail.AtOnce())
 }
 
 // ConfigurationChanged puts a configuration in force.
