tier: an entry instance that leaves never says again that it is ready

Cause: a configuration that arrives at the moment of a stop was looked at first whether the instance stops, and then told to make it ready; the word that it drains could come between, and callers would have been sent to an instance that ends seconds later. Ruled out: that feed refuses the step back, since its test TestEntries wants an instance to be able to become ready again. Change: both are one step under a lock (standing).

--- a/tier/entry.go
+++ b/tier/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,7 +46,7 @@
 	re   *replica.Table
 	ts   *timer.Service
 	lg   *zap.Logger
-	stop atomic.Bool
+	st   *standing
 }
 
 func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
@@ -63,6 +62,7 @@
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: sh.linkSeeds, Link: lc, Hold: serverHold,
 	}, ts, lg, en)
+	en.st = &standing{tell: en.su.SetState}
 	li, err := listen(se.Listen.Callers)
 	if err != nil {
 		return err
@@ -82,14 +82,13 @@
 }
 
 // ready reports whether callers may be sent here.
-func (en *entry) ready() bool { return !en.stop.Load() && en.gw.Table() != nil }
+func (en *entry) ready() bool { return !en.st.left() && en.gw.Table() != nil }
 
 // leave stops without cutting a request off. Callers are told at once not to
 // come; those who hold an older list are served until it must have run out.
 func (en *entry) leave(within time.Duration, ts *timer.Service) {
 	start := ts.Now()
-	en.stop.Store(true)
-	en.su.SetState(feed.Draining)
+	en.st.leave()
 	en.gw.CloseAfterAnswer()
 	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.Active()), zap.Duration("Within", within), trail.AtOnce())
 	ctx := context.Background()
@@ -110,9 +109,7 @@
 	}
 	en.gw.SetTable(tb)
 	en.door.SetLimits(tb.Limits())
-	if !en.stop.Load() {
-		en.su.SetState(feed.Ready)
-	}
+	en.st.ready()
 	en.lg.Info("configuration-in-force", zap.Uint64("Version", version), zap.Int("Routes", len(tb.Routes())), zap.Int("Services", len(tb.Services())))
 	return nil
 }
