gateway, upstream, replica: home servers where connections are scarce

Cause: 78 entry instances held idle connections to all replicas of each shard, about as many as a backend server takes (71). Also: the bytes of a wrong reply that are logged are copied; TestExtraBytesAtOnce failed when ids grew by a digit, since the next exchange reads into the same buffer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 // Config is what a gateway is told once.
 type Config struct {
 	Names          Names
+	Name           string        // Name is this instance's, and differs from the others'.
+	DataCentre     string        // DataCentre is where this instance runs.
 	CallerDistance time.Duration // CallerDistance is the one-way time to a caller.
 	HoldMargin     time.Duration // HoldMargin is kept between the end of a hold and a route's aim.
 	Linger         time.Duration // Linger is how long a superseded reply is read out to keep its connection.
@@ -69,6 +71,7 @@
 
 	tb      atomic.Pointer[route.Table]
 	shares  atomic.Pointer[map[string]int]
+	scarce  atomic.Pointer[scarcity]
 	refuse  atomic.Bool
 	closing atomic.Bool
 	seen    atomic.Pointer[picture]
@@ -88,6 +91,7 @@
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
 	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), qu: newQueue(), limits: make(map[string]int), expected: make(map[string]time.Time)}
 	sv.shares.Store(&map[string]int{})
+	sv.scarce.Store(&scarcity{})
 	sv.seen.Store(&picture{})
 	sv.started = ts.Now()
 	sv.mt.begin(sv)
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -65,20 +65,26 @@
 	entries := max(1, sv.entries.highest(sv.ts.Now()))
 	part := sv.connectionPart()
 	shares := make(map[string]int)
+	sc := &scarcity{home: make(map[string]bool), away: make(map[string]bool)}
 	targets := make(map[string]upstream.Target)
 	for name, ses := range sv.servers {
 		most := 1
 		if limit := sv.limit(tb, name); limit > 0 {
 			most = max(1, int(part*float64(limit)/float64(entries)))
+			if connectionShare*float64(limit) < float64(entries) {
+				sc.add(sv.cf.Name, sv.cf.DataCentre, ses)
+			}
 		}
 		shares[name] = most
 		for _, se := range ses {
-			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Connections: most}
+			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Connections: most, Idle: sc.idle(se.ID)}
 		}
 	}
+	sv.scarce.Store(sc)
 	maps.DeleteFunc(sv.limits, func(name string, _ int) bool { return sv.servers[name] == nil })
 	sv.shares.Store(&shares)
 	sv.re.Limit(shares)
+	sv.re.Home(sc.home)
 	sv.up.Retain(targets)
 	sv.qu.wakeAll()
 }
@@ -110,5 +116,7 @@
 
 // target returns how a backend server of a service is reached.
 func (sv *Server) target(service, id, address string) upstream.Target {
-	return upstream.Target{ID: id, Address: address, Connections: max(1, (*sv.shares.Load())[service])}
+	return upstream.Target{
+		ID: id, Address: address, Connections: max(1, (*sv.shares.Load())[service]), Idle: sv.scarce.Load().idle(id),
+	}
 }
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -57,7 +57,7 @@
 	se       *server
 	standing standing
 	expected float64
-	own      bool    // own says that it is of the own data centre.
+	own      bool    // own says that it is of the own data centre, or a home server.
 	handicap float64 // handicap divides the expected time against the best one.
 }
 
@@ -96,7 +96,7 @@
 			continue
 		}
 		ca := candidate{se: se, standing: se.standing(at), expected: se.expected(at, wo.typical(), hedge), handicap: 1}
-		ca.own = tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre
+		ca.own = tb.cf.DataCentre != "" && se.record.DataCentre == tb.cf.DataCentre || tb.home[se.record.ID]
 		if ca.own && se.reliable(at) {
 			ca.handicap = ownFactor
 		}
--- a/replica/table.go
+++ b/replica/table.go
@@ -56,6 +56,7 @@
 	movedOrder []string        // movedOrder lists them, the oldest first.
 	limits     map[string]int  // limits are the most requests in flight at one server, by service.
 	candidates []candidate     // candidates is room for those of one choice.
+	home       map[string]bool // home are the ids preferred like those in the own data centre.
 	newsFrom   string          // newsFrom is the id after which the next news begin.
 }
 
@@ -133,6 +134,14 @@
 	tb.limits = most
 }
 
+// Home takes over the ids of servers that are preferred as those in the own data
+// centre are. The map must not be changed later.
+func (tb *Table) Home(ids map[string]bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.home = ids
+}
+
 // ReportKind says how a request to a server ended.
 type ReportKind uint8
 
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -56,7 +56,7 @@
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
 	en := &entry{di: di, re: re, ts: ts, lg: lg}
 	en.gw = gateway.New(gateway.Config{
-		Names: di.Names(), CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
+		Names: di.Names(), Name: se.Name, DataCentre: se.DataCentre, CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
 	}, ts, lg, up, re, bu)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
@@ -151,7 +151,7 @@
 	// stoodStill is the time between two looks from which it did.
 	stoodStill = time.Second
 	// idlePeriod is how often connections that nobody uses are looked at.
-	idlePeriod = 5 * time.Second
+	idlePeriod = time.Second
 )
 
 // keepHouse closes connections to backend servers that were idle for too long,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -90,6 +90,7 @@
 
 	mu        sync.Mutex
 	limit     int
+	idleMost  time.Duration // idleMost is how long a connection may stay idle.
 	address   string
 	open      int
 	dialing   int     // dialing counts those of open that are being opened.
@@ -199,7 +200,10 @@
 
 // retarget takes over the address and limit of a target.
 func (po *pool) retarget(ta Target) {
-	po.limit = ta.Connections
+	po.limit, po.idleMost = ta.Connections, po.cl.cf.Idle
+	if ta.Idle > 0 {
+		po.idleMost = min(ta.Idle, po.idleMost)
+	}
 	if po.address != ta.Address {
 		po.address, po.dark = ta.Address, false
 		po.closeIdle(func(*conn) bool { return true })
@@ -316,7 +320,7 @@
 		return
 	}
 	now := po.cl.ts.Now()
-	cn.expires = now.Add(cn.idleLimit(po.cl.cf.Idle))
+	cn.expires = now.Add(cn.idleLimit(po.idleMost))
 	if len(po.waiters) > 0 {
 		po.grantTo(po.waiters[0], grant{cn: cn})
 		return
@@ -406,7 +410,8 @@
 }
 
 // wrongBytes logs that a connection is closed because of bytes that answer no
-// request of it.
+// request of it. The sample is copied: it lies in a buffer that the next exchange
+// reads into, and a logger may keep it until then.
 func (po *pool) wrongBytes(err error, sample []byte) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -416,6 +421,6 @@
 		return
 	}
 	po.cl.lg.Warn("connection-closed-for-wrong-bytes", zap.String("Server", po.id), zap.String("Address", po.address),
-		zap.Error(err), zap.ByteString("Bytes", sample[:min(len(sample), sampleBytes)]), zap.Int("LeftOut", po.wrongs))
+		zap.Error(err), zap.ByteString("Bytes", slices.Clone(sample[:min(len(sample), sampleBytes)])), zap.Int("LeftOut", po.wrongs))
 	po.wrongAt, po.wrongs = now, 0
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -83,6 +83,7 @@
 	ID          string
 	Address     string // Address is an IP address and port.
 	Connections int
+	Idle        time.Duration // Idle is when an idle connection is closed; 0 for Config.Idle.
 }
 
 // Request is one request to a backend server. The exchange doesn't change it,
