gateway: a benchmark of a merged request, by exchange

Cause: what an entry instance spends on each exchange with a backend server was known only from whole deployments, where it can't be told apart. Ruled out: stand-ins in the same process, whose time and allocations would be in the figures; stand-ins that answer at once, which let replies in before all shards are asked. Change: BenchmarkMerged carries requests to 36 shards through ServeHTTP to stand-ins in a process of their own and reports processor time and allocations for each exchange.

--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamwinch.example/registry"
+	"balsamwinch.example/route"
+)
+
+const (
+	// benchShards is how many shards a request of the benchmark asks.
+	benchShards = 36
+	// benchReplicas is how many backend servers of a shard are known.
+	benchReplicas = 3
+	// benchRecords is how many records the part of a shard has.
+	benchRecords = 63
+	// standIns tells a process of the test's own program to be the backend servers of
+	// the benchmark.
+	standIns = "GATEWAY_STAND_INS"
+)
+
+// TestMain runs the tests, or the backend servers of the benchmark.
+func TestMain(ma *testing.M) {
+	if os.Getenv(standIns) != "" {
+		serveStandIns()
+		return
+	}
+	os.Exit(ma.Run())
+}
+
+// BenchmarkMerged measures a request to benchShards shards from the handler to the
+// merged answer. The backend servers are another process, so that processor time and
+// allocations are those of the gateway alone; they answer once all shards have been
+// asked. What is reported is for one exchange with a backend server.
+func BenchmarkMerged(be *testing.B) {
+	rg := newRig(be, loopback{}, setup{})
+	ro := route.Route{Prefix: "/", Timeout: 10 * time.Second, MaxAttempts: 1}
+	ro.Merge = route.Merge{TopK: 10, LeastShare: 1}
+	ses := make(map[string][]registry.Server)
+	for sh, address := range startStandIns(be) {
+		service := fmt.Sprintf("shard-%d", sh)
+		ro.Shards = append(ro.Shards, service)
+		for re := range benchReplicas {
+			id := fmt.Sprintf("%s-%d", service, re)
+			ses[service] = append(ses[service], registry.Server{
+				ID: id, Service: service, Address: address, Slots: 8, State: registry.Ready, DataCentre: fmt.Sprint("dc-", re),
+			})
+		}
+	}
+	rg.table(ro)
+	rg.gw.SetServers(ses)
+	for range 20 {
+		benchAsk(be, rg)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	spent := processorTime(be)
+	be.ResetTimer()
+	for range be.N {
+		benchAsk(be, rg)
+	}
+	be.StopTimer()
+	spent = processorTime(be) - spent
+	runtime.ReadMemStats(&after)
+	exchanges := float64(be.N) * benchShards
+	be.ReportMetric(float64(be.Elapsed())/exchanges, "ns/exchange")
+	be.ReportMetric(float64(spent)/exchanges, "cpu-ns/exchange")
+	be.ReportMetric(float64(after.Mallocs-before.Mallocs)/exchanges, "allocs/exchange")
+	be.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/exchanges, "B/exchange")
+}
+
+// benchAsk has the gateway answer one request, as net/http would.
+func benchAsk(be *testing.B, rg *rig) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	rq := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/search/papers?text=balsam+winch&most=10", nil)
+	rq.RequestURI = rq.URL.RequestURI()
+	rq.Header = http.Header{
+		names.RequestID: {"q-8f14e45fceea167a"}, names.Deadline: {"900"}, "Accept": {"*/*"},
+		"Accept-Encoding": {"gzip, deflate"}, "User-Agent": {"loader/3.2"}, "X-Caller": {"c-17"},
+	}
+	wr := &benchWriter{hd: make(http.Header)}
+	rg.gw.ServeHTTP(wr, rq)
+	if wr.status != http.StatusOK || wr.hd.Get(names.Missing) != "0" {
+		be.Fatal(wr.status, wr.hd)
+	}
+}
+
+// benchWriter takes an answer and drops its body.
+type benchWriter struct {
+	hd     http.Header
+	status int
+}
+
+func (wr *benchWriter) Header() http.Header            { return wr.hd }
+func (wr *benchWriter) WriteHeader(status int)         { wr.status = status }
+func (wr *benchWriter) Write(body []byte) (int, error) { return len(body), nil }
+
+// processorTime returns the processor time that this process has used.
+func processorTime(tb testing.TB) time.Duration {
+	var ru syscall.Rusage
+	qt.Assert(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &ru), qt.IsNil)
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+// startStandIns starts the backend servers and returns their addresses, one for each
+// shard. They end with the benchmark.
+func startStandIns(tb testing.TB) []string {
+	co := exec.Command(os.Args[0])
+	co.Env = append(os.Environ(), standIns+"=1", "GOMAXPROCS=2")
+	co.Stderr = os.Stderr
+	in, err := co.StdinPipe()
+	qt.Assert(tb, err, qt.IsNil)
+	out, err := co.StdoutPipe()
+	qt.Assert(tb, err, qt.IsNil)
+	qt.Assert(tb, co.Start(), qt.IsNil)
+	tb.Cleanup(func() {
+		_ = in.Close()
+		_ = co.Wait()
+	})
+	var addresses []string
+	for sc := bufio.NewScanner(out); len(addresses) < benchShards && sc.Scan(); {
+		addresses = append(addresses, sc.Text())
+	}
+	qt.Assert(tb, addresses, qt.HasLen, benchShards)
+	return addresses
+}
+
+// serveStandIns is one backend server for each shard, until its input ends.
+func serveStandIns() {
+	ro := &round{done: make(chan struct{})}
+	for sh := range benchShards {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go standIn(nc, ro, standInReply(sh))
+			}
+		}()
+		fmt.Println(ln.Addr())
+	}
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// standInReply is what the backend server of a shard answers to every request.
+func standInReply(sh int) []byte {
+	body := make([]byte, 0, benchRecords*recordBytes)
+	for re := range benchRecords {
+		body = append(body, fmt.Sprintf("%04d-%04d-%02d-%03d", re*(7919+sh)%10000, re*104729%10000, sh, re)[:recordBytes]...)
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: q-8f14e45fceea167a\r\n%s: 3e1b.07.5a2.600.%d.c9f2a4d1\r\n%s: 3,0,8,100\r\n"+
+		"Content-Type: application/octet-stream\r\nContent-Length: %d\r\nKeep-Alive: timeout=15\r\n\r\n%s",
+		names.RequestID, names.Stamp, sh, names.Load, len(body), body)
+}
+
+// standIn answers the requests on a connection.
+func standIn(nc net.Conn, ro *round, reply []byte) {
+	defer nc.Close()
+	rd := bufio.NewReader(nc)
+	for {
+		li, err := rd.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if strings.TrimSpace(li) != "" {
+			continue
+		}
+		ro.wait()
+		if _, err := nc.Write(reply); err != nil {
+			return
+		}
+	}
+}
+
+// round is one request of the benchmark: the backend servers wait in it until all
+// shards have been asked.
+type round struct {
+	mu      sync.Mutex
+	arrived int
+	done    chan struct{}
+}
+
+func (ro *round) wait() {
+	ro.mu.Lock()
+	done := ro.done
+	if ro.arrived++; ro.arrived == benchShards {
+		ro.arrived, ro.done = 0, make(chan struct{})
+		close(done)
+	}
+	ro.mu.Unlock()
+	<-done
+}
