upstream, gateway: the head of a request to many shards is written once

Cause: each exchange checked and wrote the same head again, but for its last two lines: 3.5 % of the processor time (pprof of BenchmarkMerged), before the request leaves. Ruled out: writing it at the first exchange, which would need a lock for the others. Change: Client.Prepare writes the head into the request; an exchange copies it and adds the time left and the server that is meant. A request to one server is written as before.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -65,6 +65,9 @@
 		ends:     make(chan ended, 2*len(services)),
 	}
 	cr.rq.Deadline = pl.Deadline
+	if len(services) > 1 {
+		ca.sv.up.Prepare(cr.rq)
+	}
 	ca.cr = cr
 	for _, se := range services {
 		ca.sv.bu.Arrival(ca.start, se)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -87,6 +87,11 @@
 
 // prepare writes what is known of the head before there is a connection.
 func (ex *exchange) prepare(rq *Request) error {
+	if rq.head != nil {
+		ex.out = append(ex.out[:0], rq.head...)
+		ex.mark = len(ex.out)
+		return nil
+	}
 	out, ok := appendHead(ex.out[:0], rq, &ex.cl.cf.Names)
 	ex.out, ex.mark = out, len(out)
 	if !ok {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -104,6 +104,8 @@
 	// Do returns at once all the same. By default the connection is closed, which
 	// tells the server to drop the request.
 	Linger time.Duration
+
+	head []byte // head is what Prepare has written.
 }
 
 // Reply is a whole reply. The caller owns it.
@@ -192,6 +194,16 @@
 	return &Client{cf: cf.withDefaults(), ts: ts, lg: lg, pools: make(map[string]*pool)}
 }
 
+// Prepare writes once what is the same for all servers, for a request that goes to
+// several. The request may not be changed any more. Do refuses one that can't be
+// written.
+func (cl *Client) Prepare(rq *Request) {
+	const usual = 512
+	if head, ok := appendHead(make([]byte, 0, usual), rq, &cl.cf.Names); ok {
+		rq.head = head
+	}
+}
+
 // Do sends a request to a server and reads the reply. It returns when the reply
 // is whole, at the request's deadline, or when the context ends; in the last two
 // cases the connection is closed at once, so that the server drops the request.
