--- a/gateway/run.go
+++ b/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"time"
 
@@ -70,6 +71,9 @@
 		ends:     make(chan ended, 2*len(services)),
 	}
 	cr.rq.Deadline = pl.Deadline
+	if len(services) > 1 {
+		ca.sv.up.Prepare(cr.rq)
+	}
 	ca.cr = cr
 	cr.begin(ca.sv.ts.Now())
 	return cr, cr.loop()
@@ -79,7 +83,7 @@
 func (cr *carrier) loop() bool {
 	ts := cr.ca.sv.ts
 	caller := cr.ca.rq.Context()
-	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	ctx, cancel := upstream.WithCancel(context.WithoutCancel(caller))
 	defer cancel(upstream.ErrSuperseded)
 	defer cr.leaveQueue()
 	timer := time.NewTimer(time.Hour)
@@ -98,6 +102,7 @@
 		select {
 		case en := <-cr.ends:
 			cr.ended(en)
+			cr.drain()
 		case sh := <-cr.queueing.woken:
 			cr.roomFor(sh)
 		case <-timer.C:
@@ -109,6 +114,23 @@
 	}
 }
 
+// drain takes in what else has ended. Exchanges that can go on do so before: with one
+// core, each of their replies would take a turn of the loop otherwise. An answer that
+// is whole doesn't wait for that.
+func (cr *carrier) drain() {
+	if cr.qu.End() == scatter.Running {
+		runtime.Gosched()
+	}
+	for cr.qu.End() == scatter.Running {
+		select {
+		case en := <-cr.ends:
+			cr.ended(en)
+		default:
+			return
+		}
+	}
+}
+
 // try begins an attempt, or tells the query why it can't.
 func (cr *carrier) try(ctx context.Context, now time.Time, wa scatter.Want) {
 	sv := cr.ca.sv
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,9 +27,6 @@
 	sampleBytes = 64
 )
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // exchange is one request and its reply on a connection. Its buffers and
 // functions serve one exchange after another.
 type exchange struct {
@@ -63,19 +60,18 @@
 	ioErr   error  // ioErr is the last error of the connection itself.
 	rs      *http.Response
 	body    []byte
+	spare   *Reply // spare is a recycled reply that body was begun in; nil for none.
 
-	step      func(fd uintptr) bool
-	interrupt func()
-	fired     chan struct{} // fired gets one value when interrupt has run.
+	step  func(fd uintptr) bool
+	place int // place is where the exchange is in its group.
 }
 
 func (cl *Client) newExchange(rq *Request) *exchange {
 	ex, _ := cl.exchanges.Get().(*exchange)
 	if ex == nil {
-		ex = &exchange{cl: cl, written: make(chan error, 1), fired: make(chan struct{}, 1)}
+		ex = &exchange{cl: cl, written: make(chan error, 1)}
 		ex.rd = bufio.NewReaderSize(ex, readBytes)
 		ex.step = ex.onTurn
-		ex.interrupt = ex.onContextEnd
 	}
 	ex.id, ex.isHead = rq.RequestID, rq.Method == http.MethodHead
 	return ex
@@ -83,7 +79,7 @@
 
 // freeExchange keeps the buffers of an exchange for the next one.
 func (cl *Client) freeExchange(ex *exchange) {
-	ex.po, ex.cn, ex.id, ex.rest = nil, nil, "", nil
+	ex.po, ex.cn, ex.id, ex.rest, ex.spare = nil, nil, "", nil, nil
 	ex.rs, ex.body, ex.dest, ex.stepErr, ex.ioErr = nil, nil, nil, nil, nil
 	if cap(ex.out) <= 2*outBytes {
 		cl.exchanges.Put(ex)
@@ -92,6 +88,11 @@
 
 // prepare writes what is known of the head before there is a connection.
 func (ex *exchange) prepare(rq *Request) error {
+	if rq.head != nil {
+		ex.out = append(ex.out[:0], rq.head...)
+		ex.mark = len(ex.out)
+		return nil
+	}
 	out, ok := appendHead(ex.out[:0], rq, &ex.cl.cf.Names)
 	ex.out, ex.mark = out, len(out)
 	if !ok {
@@ -105,7 +106,7 @@
 	ex.po, ex.cn = po, cn
 	ex.begun, ex.left, ex.sent, ex.writing = false, false, false, false
 	ex.heard, ex.partial, ex.budget, ex.interim = false, false, headBytes, 0
-	ex.ioErr, ex.rs, ex.body = nil, nil, nil
+	ex.ioErr, ex.rs, ex.body, ex.spare = nil, nil, nil, nil
 	ex.rd.Reset(ex)
 }
 
@@ -141,19 +142,11 @@
 	if ctx.Done() == nil {
 		return ex.receive()
 	}
-	stop := context.AfterFunc(ctx, ex.interrupt)
-	err := ex.receive()
-	if !stop() {
-		// The interruption has begun. It must be over before the connection goes
-		// to another request, which it would hit instead.
-		<-ex.fired
-	}
-	return err
-}
-
-func (ex *exchange) onContextEnd() {
-	ex.setDeadline(past)
-	ex.fired <- struct{}{}
+	gr, stop := groupOf(ctx)
+	defer stop()
+	gr.enter(ex)
+	defer gr.leave(ex)
+	return ex.receive()
 }
 
 // setDeadline bounds reading. Writing never waits where the descriptor is used
