gateway, replica: hedge a larger share where there are many shards

Cause: an answer comes with its last part. At 36 shards three are late at the usual hedge time (8 of 100 requests), and their hedges have little of the aim left: fitter-lookup had a median of 76 ms of 80. Change: the share grows from 8 % at ten shards to 15 % at 36.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -138,7 +138,7 @@
 	if wa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
-	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable()}
+	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable(), HedgeShare: hedgeShare(len(cr.services))}
 	pk, ok := cr.choose(now, wa, as)
 	if !ok {
 		cr.nobody(now, wa)
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -36,6 +36,9 @@
 	// Avoid are the ids that were asked for this request before. A request with
 	// one or more of them is a hedge, or sent once more.
 	Avoid []string
+	// HedgeShare is the share of the requests of its work that should reach their
+	// hedge time; zero counts as that of the Config.
+	HedgeShare float64
 	// Sure says that the request must not probe a server that failed or was slow,
 	// for instance because it can't be sent again.
 	Sure bool
@@ -72,7 +75,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	at := tb.at(now)
-	wo := tb.work(at, as.Work)
+	wo := tb.work(at, as)
 	cas := tb.rate(at, as, wo)
 	if len(cas) == 0 {
 		return Pick{}, false
@@ -201,7 +204,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	at := tb.at(now)
-	wo := tb.work(at, as.Work)
+	wo := tb.work(at, as)
 	delay := wo.delay(at)
 	if pk.se != nil && tb.outdone(at, as, pk) {
 		return min(delay, wo.typical())
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -368,7 +368,7 @@
 		return fa.en.tb.HedgeAfter(fa.sm.clock(), fa.ask(), at.pk)
 	}
 	tb := fa.en.tb
-	return tb.work(tb.at(fa.sm.clock()), fa.work.name).delay(tb.latest)
+	return tb.work(tb.at(fa.sm.clock()), Ask{Work: fa.work.name}).delay(tb.latest)
 }
 
 // again asks a second server if the budget has it.
@@ -391,7 +391,7 @@
 		return pk
 	}
 	at := tb.at(fa.sm.clock())
-	wo := tb.work(at, as.Work)
+	wo := tb.work(at, as)
 	cas := tb.rate(at, as, wo)
 	se := cas[fa.sm.rn.IntN(len(cas))].se
 	return Pick{Server: se.record, se: se, number: se.take(at, wo)}
--- a/replica/table.go
+++ b/replica/table.go
@@ -33,8 +33,8 @@
 	DataCentre string
 	// Seed is the seed of the random choices.
 	Seed uint64
-	// HedgeShare is the share of requests that should reach their hedge time;
-	// zero or less counts as 0.08.
+	// HedgeShare is the share of requests that should reach their hedge time,
+	// unless an Ask says otherwise; zero or less counts as 0.08.
 	HedgeShare float64
 }
 
@@ -219,7 +219,7 @@
 	latency := at - fl.start
 	se.renew(at)
 	if fl.work.known() {
-		fl.work.refresh(tb.high())
+		fl.work.refresh()
 		se.learn(latency, fl.work.typical(), false)
 		se.noteLatency(latency, fl.work.typical(), false)
 	}
@@ -233,7 +233,7 @@
 // and more and more requests would be hedged.
 func (tb *Table) learnSilence(at time.Duration, se *server, fl *flight) {
 	latency := at - fl.start
-	fl.work.refresh(tb.high())
+	fl.work.refresh()
 	delay := fl.work.delay(at)
 	se.renew(at)
 	if fl.work.known() {
@@ -296,23 +296,24 @@
 	if wo == nil {
 		return unknownMedian
 	}
-	wo.refresh(tb.high())
+	wo.refresh()
 	return wo.typical()
 }
 
-// high returns the quantile of latencies after which a request is hedged.
-func (tb *Table) high() float64 { return 1 - tb.cf.HedgeShare }
-
-// work returns what is known of a work, with its quantiles up to date.
-func (tb *Table) work(at time.Duration, name string) *work {
-	wo := tb.works[name]
+// work returns what is known of the work of a request, with its quantiles up to
+// date.
+func (tb *Table) work(at time.Duration, as Ask) *work {
+	wo := tb.works[as.Work]
 	if wo == nil {
 		tb.forgetWork()
-		wo = &work{since: at}
-		tb.works[name] = wo
+		wo = &work{since: at, share: tb.cf.HedgeShare}
+		tb.works[as.Work] = wo
+	}
+	if as.HedgeShare > 0 && as.HedgeShare != wo.share {
+		wo.share, wo.fresh = as.HedgeShare, false
 	}
 	wo.used = at
-	wo.refresh(tb.high())
+	wo.refresh()
 	return wo
 }
 
--- a/replica/work.go
+++ b/replica/work.go
@@ -35,7 +35,8 @@
 	total  float64
 	counts [stepCount]float64
 
-	fresh  bool // fresh says that median and late are those of the counts.
+	share  float64 // share is that of the requests that should reach their hedge time.
+	fresh  bool    // fresh says that median and late are those of the counts.
 	median time.Duration
 	late   time.Duration // late is the quantile after which a request is hedged.
 }
@@ -63,13 +64,13 @@
 	return min(stepCount-1, int(stepsPerDouble*math.Log2(float64(latency)/float64(shortest))))
 }
 
-// refresh computes the median and the given high quantile.
-func (wo *work) refresh(high float64) {
+// refresh computes the median and the high quantile.
+func (wo *work) refresh() {
 	if wo.fresh {
 		return
 	}
 	wo.fresh = true
-	wo.median, wo.late = wo.quantile(0.5), wo.quantile(high)
+	wo.median, wo.late = wo.quantile(0.5), wo.quantile(1-wo.share)
 }
 
 // quantile returns a quantile, between the bounds of its step in proportion to
