--- a/tier/control.go
+++ b/tier/control.go
@@ -143,5 +143,5 @@
 func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
 	ready := co.pu.Entries()
 	co.lu.note(ready)
-	return addresses(ready, dataCentre), co.sh.se.Load().Timing.AddressTTL
+	return addresses(ready, dataCentre), co.sh.se.Load().Timing.addressTTL()
 }
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -52,7 +52,7 @@
 // Timing holds the times of an instance.
 type Timing struct {
 	Announcement time.Duration // Announcement is how often a backend server announces itself.
-	AddressTTL   time.Duration // AddressTTL is how long callers may keep an address list.
+	AddressTTL   time.Duration // AddressTTL is how long callers may keep an address list; see addressTTL.
 	StopWithin   time.Duration // StopWithin is how long a planned stop may take.
 	// Drain is how long a backend server that says that it leaves may still get
 	// requests, and Apply is within what a configuration must be in force. Links that
@@ -77,7 +77,7 @@
 		Losses: 1,
 		Timing: Timing{
 			Announcement:   time.Second,
-			AddressTTL:     2 * time.Second,
+			AddressTTL:     4 * time.Second,
 			StopWithin:     6 * time.Second,
 			Drain:          3 * time.Second,
 			Apply:          3 * time.Second,
