emulate: instances end and start, backend servers crash and misbehave further

Cause: a fault soak needs faults that package emulate didn't offer: an instance that ends and starts again, loses its disk or is killed; a backend server that crashes, is started beside others, stands still, never answers, answers late, twice or for another request; and somebody who is told what each server saw. Ruled out: killing an instance within the process, since its listeners and links can't be taken from it; so a Local may run each instance in a process of its own, which ends when its standard input does. Change: LocalConfig.Program and Logs, ServeInstance, Local.Stop, Kill, Start, LoseDisk; Servers.Start and Crash; Trouble.Silent, Twice, Late, Other; Server.Halt; Config.Note. Run: go test -race ./emulate passes with TestInstancesEndAndStart, TestSeen, TestOtherAndTwice, TestHaltLateSilent.

--- /dev/null
+++ b/emulate/fault.go
@@ -0,0 +1,85 @@
+package emulate
+
+import (
+	"context"
+	"os"
+
+	"balsamwinch.example/result"
+)
+
+// EntryNames returns the names of the entry instances, in the order of Callers.
+func (lo *Local) EntryNames() []string { return lo.names(true) }
+
+// ControlNames returns the names of the control instances, in the order of Control.
+func (lo *Local) ControlNames() []string { return lo.names(false) }
+
+func (lo *Local) names(entry bool) []string {
+	var out []string
+	for _, in := range lo.instances {
+		if in.se.Entry() == entry {
+			out = append(out, in.se.Name)
+		}
+	}
+	return out
+}
+
+// instance returns the instance with a name.
+func (lo *Local) instance(op, name string) (*localInstance, error) {
+	for _, in := range lo.instances {
+		if in.se.Name == name {
+			return in, nil
+		}
+	}
+	return nil, &result.Error{Code: result.BadSettings, Op: op, Detail: "no instance " + name}
+}
+
+// Stop stops an instance gracefully and returns how it ended.
+func (lo *Local) Stop(name string) error {
+	in, err := lo.instance("stop", name)
+	if err != nil {
+		return err
+	}
+	ru := in.life()
+	ru.stop()
+	<-ru.done
+	return ru.err
+}
+
+// Kill ends an instance at once, without a word to anybody. Only one that runs in
+// a process of its own can be killed.
+func (lo *Local) Kill(name string) error {
+	in, err := lo.instance("kill", name)
+	if err != nil {
+		return err
+	}
+	ru := in.life()
+	if ru.kill == nil {
+		return &result.Error{Code: result.BadSettings, Op: "kill", Detail: name + " runs in this process"}
+	}
+	ru.kill()
+	<-ru.done
+	return nil
+}
+
+// LoseDisk removes the data of a control instance that has ended.
+func (lo *Local) LoseDisk(name string) error {
+	in, err := lo.instance("lose the disk", name)
+	if err != nil {
+		return err
+	}
+	return os.RemoveAll(in.se.DataFolder)
+}
+
+// Start starts an instance again that has ended, and returns once it listens.
+func (lo *Local) Start(ctx context.Context, name string) error {
+	in, err := lo.instance("start", name)
+	if err != nil {
+		return err
+	}
+	// One that said again that the tier is new could form a second group.
+	in.se.FirstStart = false
+	if err := lo.run(in); err != nil {
+		return err
+	}
+	return lo.awaitOne(ctx, in, (*localInstance).listens)
+}
--- a/emulate/listener.go
+++ b/emulate/listener.go
@@ -12,6 +12,7 @@
 	limit int64
 	open  atomic.Int64
 	over  atomic.Int64
+	note  func(SeenKind) // note is told of each connection; may be nil.
 }
 
 func newListener(li net.Listener, limit int) *listener {
@@ -26,6 +27,7 @@
 			return nil, err
 		}
 		if li.open.Add(1) <= li.limit || li.limit <= 0 {
+			li.tell(SeenAccepted)
 			return &accepted{Conn: nc, li: li}, nil
 		}
 		li.open.Add(-1)
@@ -34,6 +36,13 @@
 			_ = tc.SetLinger(0) // This makes the close a reset.
 		}
 		_ = nc.Close()
+		li.tell(SeenReset)
+	}
+}
+
+func (li *listener) tell(kind SeenKind) {
+	if li.note != nil {
+		li.note(kind)
 	}
 }
 
--- a/emulate/local.go
+++ b/emulate/local.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,22 +26,31 @@
 	DataCentres []string // DataCentres are filled in turn.
 	Folder      string   // Folder gets a data folder for each control instance.
 	StopWithin  time.Duration
+	// Program runs each instance in a process of its own, which calls ServeInstance
+	// with its standard input; only such an instance can be killed. None: all run in
+	// this process.
+	Program []string
+	// Logs is a folder for what the processes log, a file for each; empty: nowhere.
+	Logs string
 }
 
-// Local is a tier in this process, each instance at a loopback address of its
-// own. The garbage collector and the memory limit are set for all of them
-// together, and they share the processors; what one costs can't be told apart.
+// Local is a tier on this machine, each instance at a loopback address of its
+// own. Those in this process share the garbage collector and the memory limit,
+// and all share the processors; what one costs can't be told apart. It is safe for
+// concurrent use, as long as no two goroutines start or end the same instance.
 type Local struct {
+	cf        LocalConfig
 	ts        *timer.Service
+	lg        *zap.Logger
 	instances []*localInstance
 }
 
 // localInstance is one instance of a Local.
 type localInstance struct {
-	se   tier.Settings
-	stop context.CancelFunc
-	done chan struct{} // done is closed when the instance has ended.
-	err  error         // err is how it ended; to be read after done.
+	se tier.Settings
+
+	mu sync.Mutex
+	ru *running
 }
 
 const (
@@ -67,9 +77,13 @@
 		if err != nil {
 			return nil, err
 		}
-		lo := &Local{ts: ts}
+		lo := &Local{cf: cf, ts: ts, lg: lg}
 		for _, se := range ses {
-			lo.start(se, lg)
+			in := &localInstance{se: se}
+			if err := lo.run(in); err != nil {
+				return nil, errors.Join(err, lo.Close())
+			}
+			lo.instances = append(lo.instances, in)
 		}
 		if last = lo.await(ctx, (*localInstance).listens); last == nil {
 			return lo, nil
@@ -174,14 +188,28 @@
 	}
 }
 
-func (lo *Local) start(se tier.Settings, lg *zap.Logger) {
-	ctx, stop := context.WithCancel(context.Background())
-	in := &localInstance{se: se, stop: stop, done: make(chan struct{})}
-	lo.instances = append(lo.instances, in)
-	go func() {
-		defer close(in.done)
-		in.err = tier.Run(ctx, se, nil, Dialect{}, lg.Named(se.Name))
-	}()
+// run begins a life of an instance.
+func (lo *Local) run(in *localInstance) error {
+	ru, err := (*running)(nil), error(nil)
+	if len(lo.cf.Program) > 0 {
+		ru, err = runProcess(in.se, lo.cf.Program, lo.cf.Logs)
+	} else {
+		ru = runHere(in.se, lo.lg)
+	}
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.ru = ru
+	return nil
+}
+
+// life returns the newest life of the instance.
+func (in *localInstance) life() *running {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.ru
 }
 
 // listens reports whether the instance answers.
@@ -219,15 +247,23 @@
 // an error.
 func (lo *Local) await(ctx context.Context, holds func(*localInstance, context.Context) bool) error {
 	for _, in := range lo.instances {
-		for !holds(in, ctx) {
-			select {
-			case <-in.done:
-				return errors.Join(in.err, fmt.Errorf("%s has ended", in.se.Name))
-			default:
-			}
-			if err := lo.ts.Sleep(ctx, localPoll); err != nil {
-				return fmt.Errorf("wait for %s: %w", in.se.Name, err)
-			}
+		if err := lo.awaitOne(ctx, in, holds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (lo *Local) awaitOne(ctx context.Context, in *localInstance, holds func(*localInstance, context.Context) bool) error {
+	ru := in.life()
+	for !holds(in, ctx) {
+		select {
+		case <-ru.done:
+			return errors.Join(ru.err, fmt.Errorf("%s has ended", in.se.Name))
+		default:
+		}
+		if err := lo.ts.Sleep(ctx, localPoll); err != nil {
+			return fmt.Errorf("wait for %s: %w", in.se.Name, err)
 		}
 	}
 	return nil
@@ -280,11 +316,12 @@
 func (lo *Local) Close() error {
 	var errs []error
 	for _, in := range lo.instances {
-		in.stop()
+		in.life().stop()
 	}
 	for _, in := range lo.instances {
-		<-in.done
-		errs = append(errs, in.err)
+		ru := in.life()
+		<-ru.done
+		errs = append(errs, ru.err)
 	}
 	return errors.Join(errs...)
 }
--- /dev/null
+++ b/emulate/seen.go
@@ -0,0 +1,43 @@
+package emulate
+
+import (
+	"net/http"
+	"time"
+)
+
+// SeenKind is a kind of what a backend server saw.
+type SeenKind int
+
+// What a backend server sees.
+const (
+	SeenArrived  SeenKind = iota + 1 // SeenArrived is a request that was read.
+	SeenRan                          // SeenRan is a request that was begun.
+	SeenNotRun                       // SeenNotRun is a request that was refused.
+	SeenLeaving                      // SeenLeaving is control's word that it heard that the server leaves.
+	SeenAccepted                     // SeenAccepted is a connection within the limit.
+	SeenReset                        // SeenReset is a connection beyond the limit.
+)
+
+// Seen is one thing that a backend server saw. The last three fields are those of
+// a request.
+type Seen struct {
+	Kind     SeenKind
+	At       time.Time
+	Server   string
+	Service  string
+	Request  string // Request is the request's id.
+	Path     string
+	Expected string // Expected is the server that the request was meant for; empty if it doesn't say.
+}
+
+// note tells what was seen; rq is nil for what is no request.
+func (se *Server) note(kind SeenKind, rq *http.Request) {
+	if se.cf.Note == nil {
+		return
+	}
+	sn := Seen{Kind: kind, At: se.ts.Now(), Server: se.cf.ID, Service: se.cf.Service}
+	if rq != nil {
+		sn.Request, sn.Path, sn.Expected = rq.Header.Get(headerRequestID), rq.URL.Path, rq.Header.Get(headerExpect)
+	}
+	se.cf.Note(sn)
+}
--- a/emulate/serve.go
+++ b/emulate/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +27,9 @@
 // it wait for a slot, and works on it for a while.
 func (se *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	ctx := rq.Context()
+	if rq.URL.Path != HealthPath {
+		se.note(SeenArrived, rq)
+	}
 	if se.rest(ctx, 0) != nil { // A paused server stands still, whatever it is asked.
 		return
 	}
@@ -60,6 +65,11 @@
 	}
 	defer func() { <-se.slots }()
 	se.count(rq, Counts{Ran: 1})
+	se.note(SeenRan, rq)
+	if se.chance(tr.Silent) {
+		<-rq.Context().Done()
+		return
+	}
 	err := se.rest(ctx, se.work(tr)+se.connectionCost(rq))
 	switch {
 	case rq.Context().Err() != nil: // The caller has closed the connection.
@@ -151,6 +161,7 @@
 // refuse says that the request has not run and won't.
 func (se *Server) refuse(wr http.ResponseWriter, rq *http.Request, status int) {
 	se.count(rq, Counts{NotRun: 1})
+	se.note(SeenNotRun, rq)
 	wr.Header().Set(headerNotRun, "1")
 	se.reportLoad(wr)
 	wr.WriteHeader(status)
@@ -176,7 +187,19 @@
 		se.spoil(wr, "\x00\x01 these bytes are no answer\r\n\r\n")
 		return
 	}
-	body := Records(se.cf.Service, rq.URL.Path, se.cf.Records)
+	if se.chance(tr.Late) && se.ts.Sleep(rq.Context(), se.lateness()) != nil {
+		return
+	}
+	path := rq.URL.Path
+	if se.chance(tr.Other) {
+		id, path = id+otherSuffix, path+otherSuffix
+		wr.Header().Set(headerRequestID, id)
+	}
+	body := Records(se.cf.Service, path, se.cf.Records)
+	if se.chance(tr.Twice) {
+		se.sendTwice(wr, id, body)
+		return
+	}
 	hd := wr.Header()
 	hd.Set(headerStamp, Stamp(se.cf.ID, id))
 	hd.Set("Content-Type", "application/octet-stream")
@@ -202,6 +225,36 @@
 	_ = nc.Close()
 }
 
+// otherSuffix makes a request's id and path those of another one.
+const otherSuffix = "-other"
+
+const (
+	lateLeast = 50 * time.Millisecond
+	lateMost  = 400 * time.Millisecond
+	// keptOpen is how long a connection stays open on which an answer was sent twice.
+	keptOpen = time.Second
+)
+
+// lateness draws how much later an answer comes.
+func (se *Server) lateness() time.Duration {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return lateLeast + time.Duration(se.rd.Float64()*float64(lateMost-lateLeast))
+}
+
+// sendTwice writes an answer twice, and closes the connection only later: who has
+// taken the first answer and uses the connection again gets the second one.
+func (se *Server) sendTwice(wr http.ResponseWriter, id string, body []byte) {
+	nc, _, err := http.NewResponseController(wr).Hijack()
+	if err != nil {
+		return
+	}
+	one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		headerRequestID, id, headerStamp, Stamp(se.cf.ID, id), len(body), body)
+	_, _ = io.WriteString(nc, one+one)
+	se.ts.Timeout(keptOpen, func() { _ = nc.Close() })
+}
+
 // reportLoad states the requests that run and wait, and the slots.
 func (se *Server) reportLoad(wr http.ResponseWriter) {
 	if !se.cf.ReportLoad {
--- a/emulate/server.go
+++ b/emulate/server.go
@@ -50,6 +50,7 @@
 	DrainFor       time.Duration // DrainFor is how long a draining server goes on serving.
 	IdleTimeout    time.Duration // IdleTimeout is when an idle connection is closed; default 30 s.
 	Seed           uint64        // Seed makes work, pauses and faults repeatable.
+	Note           func(Seen)    // Note is told what the server sees, by many goroutines at once; may be nil.
 }
 
 const (
@@ -105,6 +106,7 @@
 	state   atomic.Int64 // state is a registry.State.
 	tr      atomic.Pointer[Trouble]
 	seq     atomic.Uint64
+	heard   atomic.Bool
 
 	mu     sync.Mutex // mu guards what follows.
 	rd     *rand.Rand
@@ -124,6 +126,7 @@
 		slots: make(chan struct{}, cf.Slots), counts: make(map[string]Counts),
 		ps: newPauses(cf.Pause, cf.Seed, ts.Now()), rd: rand.New(rand.NewPCG(cf.Seed, workStream)),
 	}
+	se.li.note = func(kind SeenKind) { se.note(kind, nil) }
 	se.tr.Store(&Trouble{})
 	se.hs = &http.Server{
 		Handler: se, IdleTimeout: cf.IdleTimeout,
@@ -146,6 +149,13 @@
 // SetTrouble makes the server suffer from a trouble from now on.
 func (se *Server) SetTrouble(tr Trouble) { se.tr.Store(&tr) }
 
+// Halt makes the server stand still for a time from now on, whatever it is asked.
+// Work that was begun before goes on.
+func (se *Server) Halt(length time.Duration) { se.ps.halt(se.ts.Now().Add(length)) }
+
+// Announced reports whether control has heard of the server.
+func (se *Server) Announced() bool { return se.heard.Load() }
+
 // Counts returns what was counted of the requests whose path begins with the
 // segment, as "a" in /a/b.
 func (se *Server) Counts(segment string) Counts {
@@ -190,10 +200,18 @@
 
 func (se *Server) announce(ctx context.Context) error {
 	warm := max(0, se.cf.Warm-se.ts.Now().Sub(se.started))
-	return se.an.Announce(ctx, registry.Server{
+	state := registry.State(se.state.Load())
+	err := se.an.Announce(ctx, registry.Server{
 		ID: se.cf.ID, Service: se.cf.Service, Address: se.Address(), DataCentre: se.cf.DataCentre, Version: se.cf.Version,
-		Slots: se.cf.Slots, State: registry.State(se.state.Load()), Sequence: se.seq.Add(1), WarmMillis: warm.Milliseconds(),
+		Slots: se.cf.Slots, State: state, Sequence: se.seq.Add(1), WarmMillis: warm.Milliseconds(),
 	})
+	if err == nil {
+		se.heard.Store(true)
+		if state == registry.Draining {
+			se.note(SeenLeaving, nil)
+		}
+	}
+	return err
 }
 
 // Drain makes the server leave as planned: it says that it drains, goes on
--- a/emulate/servers.go
+++ b/emulate/servers.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
@@ -9,44 +12,84 @@
 	"balsamwinch.example/timer"
 )
 
-// Servers are backend servers that run in this process.
+// crashWithin bounds the wait for a server that crashes.
+const crashWithin = 5 * time.Second
+
+// Servers are backend servers that run in this process. It is safe for concurrent
+// use.
 type Servers struct {
-	all  []*Server
-	byID map[string]*Server
 	co   *Control
+	ts   *timer.Service
+	lg   *zap.Logger
+	sp   *suture.Supervisor
 	stop context.CancelFunc
 	done <-chan error
+
+	mu     sync.Mutex // mu guards what follows.
+	all    []*Server
+	byID   map[string]*Server
+	tokens map[string]suture.ServiceToken
 }
 
 // StartServers starts backend servers that announce themselves to the control
 // instances at the addresses.
 func StartServers(cfs []Config, control []string, ts *timer.Service, lg *zap.Logger) (*Servers, error) {
-	ss := &Servers{byID: make(map[string]*Server), co: NewControl(control)}
-	sp := suture.New("backend servers", suture.Spec{
+	ss := &Servers{
+		co: NewControl(control), ts: ts, lg: lg,
+		byID: make(map[string]*Server), tokens: make(map[string]suture.ServiceToken),
+	}
+	ss.sp = suture.New("backend servers", suture.Spec{
 		EventHook: func(ev suture.Event) { lg.Warn("service-event", zap.String("Detail", ev.String())) },
 	})
+	ctx, stop := context.WithCancel(context.Background())
+	ss.stop, ss.done = stop, ss.sp.ServeBackground(ctx)
 	for _, cf := range cfs {
-		se, err := New(cf, ss.co, ts, lg)
-		if err != nil {
-			for _, se := range ss.all {
-				_ = se.li.Close()
-			}
+		if _, err := ss.Start(cf); err != nil {
+			ss.Close()
 			return nil, err
 		}
-		ss.all = append(ss.all, se)
-		ss.byID[se.ID()] = se
-		sp.Add(se)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	ss.stop, ss.done = stop, sp.ServeBackground(ctx)
 	return ss, nil
 }
 
-// All returns the servers in the order of their start.
-func (ss *Servers) All() []*Server { return ss.all }
+// Start starts one more backend server.
+func (ss *Servers) Start(cf Config) (*Server, error) {
+	se, err := New(cf, ss.co, ss.ts, ss.lg)
+	if err != nil {
+		return nil, err
+	}
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.all = append(ss.all, se)
+	ss.byID[se.ID()] = se
+	ss.tokens[se.ID()] = ss.sp.Add(se)
+	return se, nil
+}
+
+// Crash ends a server at once, without a word to control, and waits for its end.
+// One that has ended is no error.
+func (ss *Servers) Crash(se *Server) error {
+	ss.mu.Lock()
+	to, ok := ss.tokens[se.ID()]
+	delete(ss.tokens, se.ID())
+	ss.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return ss.sp.RemoveAndWait(to, crashWithin)
+}
+
+// All returns the servers in the order of their start, with those that have ended.
+func (ss *Servers) All() []*Server {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return slices.Clone(ss.all)
+}
 
 // Service returns the service of the server with an id; false if there is none.
 func (ss *Servers) Service(id string) (string, bool) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
 	se, ok := ss.byID[id]
 	if !ok {
 		return "", false
@@ -58,7 +101,7 @@
 // begins with the segment.
 func (ss *Servers) Counts(segment string) Counts {
 	var out Counts
-	for _, se := range ss.all {
+	for _, se := range ss.All() {
 		out = out.Plus(se.Counts(segment))
 	}
 	return out
@@ -67,7 +110,7 @@
 // OverLimit counts the connections that were reset as beyond a server's limit.
 func (ss *Servers) OverLimit() int {
 	out := 0
-	for _, se := range ss.all {
+	for _, se := range ss.All() {
 		out += se.OverLimit()
 	}
 	return out
--- a/emulate/work.go
+++ b/emulate/work.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,10 @@
 	Cut      float64 // Cut is the share of requests that run and whose connection is closed instead of an answer.
 	Garble   float64 // Garble is the share of requests that run and are answered with bytes that are not HTTP.
 	Truncate float64 // Truncate is the share of answers that end in the middle.
+	Silent   float64 // Silent is the share of requests that run and are never answered.
+	Twice    float64 // Twice is the share of answers that are sent twice on the connection, which stays open for a while.
+	Late     float64 // Late is the share of answers that come some 50 to 400 ms later, whatever the deadline.
+	Other    float64 // Other is the share of answers that are those to another request.
 }
 
 // span is a time in which a server stands still.
@@ -59,15 +64,23 @@
 	rd    *rand.Rand
 	begin time.Time // begin is when the last drawn pause begins.
 	spans []span    // spans are those that are not over, the next one first.
+
+	halted atomic.Int64 // halted is until when the server stands still besides, in Unix nanoseconds.
 }
 
 func newPauses(pa Pause, seed uint64, now time.Time) *pauses {
 	return &pauses{pa: pa, rd: rand.New(rand.NewPCG(seed, pauseStream)), begin: now}
 }
 
+// halt makes the server stand still until a time.
+func (ps *pauses) halt(until time.Time) { ps.halted.Store(until.UnixNano()) }
+
 // end returns when work that begins now is done, if nothing is worked on during
 // pauses.
 func (ps *pauses) end(now time.Time, work time.Duration) time.Time {
+	if left := time.Duration(ps.halted.Load() - now.UnixNano()); left > 0 {
+		now = now.Add(left)
+	}
 	if ps.pa.Most <= 0 || ps.pa.EveryMost <= 0 {
 		return now.Add(work)
 	}
