emulate: an instance starts again with settings of its own; callers ask for addresses

Cause: Local.Start changed the settings that other goroutines read (names of instances), which the race detector found in the soak's test; and callers of the soak need the list of entry instances as real ones do. Change: the settings are copied for the new life. Caller.Addresses. Run: go test -race ./emulate/soak showed the race before, none after.

--- a/emulate/caller.go
+++ b/emulate/caller.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -91,6 +93,27 @@
 	return an, nil
 }
 
+// Addresses asks a control instance at its address for such calls which entry
+// instances to use, those of the data centre first.
+func (ca *Caller) Addresses(ctx context.Context, address, dataCentre string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlWithin)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/addresses?DataCentre="+url.QueryEscape(dataCentre), nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	rs, err := ca.hc.Do(rq)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer rs.Body.Close()
+	var li addressList
+	if err := json.NewDecoder(rs.Body).Decode(&li); err != nil {
+		return nil, 0, err
+	}
+	return li.Addresses, time.Duration(li.TTLMillis) * time.Millisecond, nil
+}
+
 // Await asks until an answer lacks no part, and returns it. An answer that is
 // wrong is an error at once.
 func (ca *Caller) Await(ctx context.Context, ts *timer.Service, address string, qu Question, ex Expectation) (Answer, error) {
--- a/emulate/fault.go
+++ b/emulate/fault.go
@@ -77,8 +77,9 @@
 		return err
 	}
 	// One that said again that the tier is new could form a second group.
-	in.se.FirstStart = false
-	if err := lo.run(in); err != nil {
+	se := in.se
+	se.FirstStart = false
+	if err := lo.run(in, se); err != nil {
 		return err
 	}
 	return lo.awaitOne(ctx, in, (*localInstance).listens)
--- a/emulate/local.go
+++ b/emulate/local.go
@@ -80,7 +80,7 @@
 		lo := &Local{cf: cf, ts: ts, lg: lg}
 		for _, se := range ses {
 			in := &localInstance{se: se}
-			if err := lo.run(in); err != nil {
+			if err := lo.run(in, se); err != nil {
 				return nil, errors.Join(err, lo.Close())
 			}
 			lo.instances = append(lo.instances, in)
@@ -188,13 +188,13 @@
 	}
 }
 
-// run begins a life of an instance.
-func (lo *Local) run(in *localInstance) error {
+// run begins a life of an instance with settings.
+func (lo *Local) run(in *localInstance, se tier.Settings) error {
 	ru, err := (*running)(nil), error(nil)
 	if len(lo.cf.Program) > 0 {
-		ru, err = runProcess(in.se, lo.cf.Program, lo.cf.Logs)
+		ru, err = runProcess(se, lo.cf.Program, lo.cf.Logs)
 	} else {
-		ru = runHere(in.se, lo.lg)
+		ru = runHere(se, lo.lg)
 	}
 	if err != nil {
 		return err
