soak: faults in the routed tier, several at once, and checks of what it promises

Cause: experiments measure the routed tier in calm or under one trouble at a time; what it promises while instances, backend servers and operators fail together was tried only from outside. Ruled out: instances within one process, since they can't be killed there; checks after the run, since a breach must name the faults under way. Change: package emulate/soak.

--- /dev/null
+++ b/emulate/soak/arrivals.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"balsamwinch.example/emulate"
+)
+
+// arrivals are the times of what reached the servers of one service.
+type arrivals struct {
+	firsts, extras []time.Time
+}
+
+// Saw tells what a backend server saw.
+func (ju *Judge) Saw(sn emulate.Seen) {
+	ju.mu.Lock()
+	defer ju.mu.Unlock()
+	switch sn.Kind {
+	case emulate.SeenLeaving:
+		ju.left(sn)
+	case emulate.SeenAccepted, emulate.SeenReset:
+		ju.connected(sn)
+	case emulate.SeenArrived:
+		ju.arrived(sn)
+	case emulate.SeenRan:
+		ju.ran(sn)
+	}
+}
+
+// left notes when a server's leaving was acknowledged first. It counts as a look:
+// from now on each arrival there is judged, and at best none comes.
+func (ju *Judge) left(sn emulate.Seen) {
+	if _, ok := ju.leaving[sn.Server]; !ok {
+		ju.leaving[sn.Server] = sn.At
+		ju.look(CheckDrain, true, Breach{}, sn.At, nil)
+	}
+}
+
+// connected checks that a server's connections stay within its limit.
+func (ju *Judge) connected(sn emulate.Seen) {
+	if sn.Kind == emulate.SeenReset {
+		ju.resets[sn.Server]++
+	}
+	held := sn.Kind == emulate.SeenAccepted || ju.resets[sn.Server] <= ju.cf.Checks.OverLimit
+	ju.look(CheckConnections, held, Breach{Instance: sn.Server}, sn.At, func() string {
+		return fmt.Sprintf("%d connections were reset as beyond the limit of %d", ju.resets[sn.Server], ju.cf.Servers.Connections)
+	})
+}
+
+// arrived checks that a request came to a server that may still get some, and
+// within the budget.
+func (ju *Judge) arrived(sn emulate.Seen) {
+	if left, ok := ju.leaving[sn.Server]; ok {
+		after := sn.At.Sub(left)
+		ju.look(CheckDrain, after <= ju.cf.Checks.Drain+ju.cf.Checks.DrainSlack, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
+			return fmt.Sprintf("a request came %v after the server's leaving was acknowledged", after)
+		})
+	}
+	rq, ok := ju.requests[sn.Request]
+	if !ok {
+		return
+	}
+	service := sn.Service
+	if meant, ok := ju.servers[sn.Expected]; ok {
+		service = meant
+	}
+	ar := ju.budgets[service]
+	if ar == nil {
+		ar = &arrivals{}
+		ju.budgets[service] = ar
+	}
+	if !rq.at[service] {
+		rq.at[service] = true
+		ju.firsts++
+		ar.firsts = append(ar.firsts, sn.At)
+		return
+	}
+	ju.extras++
+	ar.extras = append(ar.extras, sn.At)
+	ju.budget(sn, service, ar)
+}
+
+// budget checks the window that ends with an arrival beyond the first. The first
+// arrivals are counted for a moment longer: an entry instance counts a request when
+// it takes it, which may be a whole timeout before the first arrival of another.
+func (ju *Judge) budget(sn emulate.Seen, service string, ar *arrivals) {
+	bu := ju.cf.Checks.Budget
+	from := sn.At.Add(-bu.Window)
+	ar.extras = since(ar.extras, from)
+	ar.firsts = since(ar.firsts, from.Add(-ju.cf.Merged.Timeout))
+	bound := bu.Ratio*float64(len(ar.firsts)) + bu.Slack
+	ju.look(CheckBudget, float64(len(ar.extras)) <= bound, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
+		return fmt.Sprintf("%d arrivals beyond the first of %d requests of %s in %v, at most %.1f", len(ar.extras), len(ar.firsts), service, bu.Window, bound)
+	})
+}
+
+// since drops the times at the front up to one.
+func since(times []time.Time, from time.Time) []time.Time {
+	for len(times) > 0 && !times[0].After(from) {
+		times = times[1:]
+	}
+	return times
+}
+
+// ran checks that a request that was begun may run.
+func (ju *Judge) ran(sn emulate.Seen) {
+	rq, ok := ju.requests[sn.Request]
+	if !ok {
+		return
+	}
+	rq.ran++
+	if rq.notRun != 0 {
+		ju.notRun(sn.At, rq, sn.Server)
+	}
+	if rq.Group == groupOnce {
+		ju.look(CheckOnce, rq.ran <= 1, Breach{Request: rq.ID, Instance: sn.Server}, sn.At, func() string {
+			return fmt.Sprintf("begun %d times", rq.ran)
+		})
+	}
+}
+
+// Load returns the first arrivals of requests at services and those beyond.
+func (ju *Judge) Load() (firsts, extras int) {
+	ju.mu.Lock()
+	defer ju.mu.Unlock()
+	return ju.firsts, ju.extras
+}
--- /dev/null
+++ b/emulate/soak/fleet.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"balsamwinch.example/emulate"
+	"balsamwinch.example/timer"
+)
+
+// heardPoll is how often is looked whether control has heard of a new server.
+const heardPoll = 20 * time.Millisecond
+
+// fleet is the backend servers: at each time one in each position, and some that
+// leave or stand where another one was. It is safe for concurrent use.
+type fleet struct {
+	cf Settings
+	ss *emulate.Servers
+	ju *Judge
+	ts *timer.Service
+
+	mu        sync.Mutex
+	positions []*emulate.Server
+	started   int
+}
+
+// service returns the service of a position in a generation.
+func (cf Settings) service(position, generation int) string {
+	all := append(cf.shards(generation), cf.plainServices()...)
+	return all[position/cf.Servers.Replicas]
+}
+
+// start starts a server of a service; address may be empty.
+func (fl *fleet) start(service, address string, nth int) (*emulate.Server, error) {
+	se := fl.cf.Servers
+	fl.mu.Lock()
+	fl.started++
+	number := fl.started
+	fl.mu.Unlock()
+	cf := emulate.Config{
+		ID: fmt.Sprintf("%s-%d", service, number), Service: service, Address: address,
+		DataCentre: fl.cf.Tier.DataCentres[nth%len(fl.cf.Tier.DataCentres)],
+		Slots:      se.Slots, Queue: se.Queue, Connections: se.Connections, ConnectionCost: se.ConnectionCost,
+		Work: se.Work, Pause: se.Pause, Records: se.Records, ReportLoad: true,
+		DrainFor: fl.cf.Checks.Drain + lingerFor, Seed: fl.cf.Seed*mostServers + uint64(number), Note: fl.ju.Saw,
+	}
+	if len(se.Paces) > 0 {
+		cf.Pace = se.Paces[nth%len(se.Paces)]
+	}
+	fl.ju.ServerStarted(cf.ID, service)
+	return fl.ss.Start(cf)
+}
+
+// fill starts a server in each position.
+func (fl *fleet) fill() error {
+	for position := range fl.cf.positions() {
+		se, err := fl.start(fl.cf.service(position, 0), "", position)
+		if err != nil {
+			return err
+		}
+		fl.positions = append(fl.positions, se)
+	}
+	return nil
+}
+
+// at returns the server in a position.
+func (fl *fleet) at(position int) *emulate.Server {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.positions[position]
+}
+
+// replace puts a new server of the same service in the place of one, unless
+// another one is there already.
+func (fl *fleet) replace(position int, old *emulate.Server, address string) error {
+	if fl.at(position) != old {
+		return nil
+	}
+	se, err := fl.start(old.Service(), address, position)
+	if err != nil && address != "" {
+		se, err = fl.start(old.Service(), "", position) // Another process took the port.
+	}
+	if err != nil {
+		return err
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.positions[position] = se
+	return nil
+}
+
+// next starts the servers of a further generation of shards, waits until control
+// has heard of them all, and returns them in the order of their positions.
+func (fl *fleet) next(ctx context.Context, generation int) ([]*emulate.Server, error) {
+	var out []*emulate.Server
+	for position := range fl.cf.Servers.Shards * fl.cf.Servers.Replicas {
+		se, err := fl.start(fl.cf.service(position, generation), "", position)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, se)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	for _, se := range out {
+		for !se.Announced() {
+			if err := fl.ts.Sleep(ctx, heardPoll); err != nil {
+				return nil, fmt.Errorf("control has not heard of %s: %w", se.ID(), err)
+			}
+		}
+	}
+	return out, nil
+}
+
+// swap puts servers in the first positions and returns those that were there.
+func (fl *fleet) swap(ses []*emulate.Server) []*emulate.Server {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	old := append([]*emulate.Server(nil), fl.positions[:len(ses)]...)
+	copy(fl.positions, ses)
+	return old
+}
+
+// drain has servers leave as planned, all at once.
+func drain(ctx context.Context, ses ...*emulate.Server) error {
+	errs := make([]error, len(ses))
+	var wg sync.WaitGroup
+	for ix, se := range ses {
+		wg.Go(func() { errs[ix] = se.Drain(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
