cmd/balsamload: the subcommand soak

Cause: package emulate/soak needs a program. Change: balsamload soak with -seed, -length, -logs and -json; a broken check prints the seed, the request, the time and the faults under way, and the exit code is 1. Instances are started as balsamload soak-instance.

--- a/cmd/balsamload/main.go
+++ b/cmd/balsamload/main.go
@@ -19,7 +19,7 @@
 // The exit codes.
 const (
 	exitOK       = 0
-	exitFailed   = 1 // exitFailed says that the run could not be made or finished.
+	exitFailed   = 1 // exitFailed says that the run could not be made or finished, or that a check of soak was broken.
 	exitUsage    = 2
 	exitSettings = 3 // exitSettings says that the experiment file has faults.
 	exitBroken   = 4 // exitBroken says that a promise was broken, or that the answer is not complete.
@@ -35,6 +35,9 @@
   balsamload routed [-json] FILE
         run an experiment file of the routed tier in this process and print what
         was measured
+  balsamload soak [-json] [-seed N] [-length TIME] [-logs FOLDER] FILE
+        put the routed tier under load while faults are played, check its promises
+        and print what was found
   balsamload files -out FOLDER FILE
         write the operators' files of an experiment
   balsamload once -callers A,B [-json] SERVICE
@@ -48,12 +51,13 @@
 
 Examples:
   go run ./cmd/balsamload run experiments/huaman.yaml
+  go run ./cmd/balsamload soak -seed 7 experiments/routed/soak.yaml
   go run ./cmd/balsamload once -callers 127.0.0.1:7101 -query '{"Ask":"curtains"}' archivo
   go run ./cmd/balsamload capacity -runs 5 caller/addresses
 
 Exit codes:
   0  done; every promise was kept
-  1  the run could not be made or finished
+  1  the run could not be made or finished, or a check of "soak" was broken
   2  the command line is wrong
   3  the experiment file has faults, each with its line
   4  a promise was broken, or the answer of "once" is not complete
@@ -73,11 +77,13 @@
 		return exitUsage
 	}
 	commands := map[string]func(context.Context, []string, io.Writer, io.Writer) error{
-		"run":      runExperiment,
-		"files":    writeFiles,
-		"once":     askOnce,
-		"capacity": measure,
-		"routed":   runRouted,
+		"run":           runExperiment,
+		"files":         writeFiles,
+		"once":          askOnce,
+		"capacity":      measure,
+		"routed":        runRouted,
+		"soak":          runSoak,
+		instanceCommand: runInstance,
 	}
 	switch name := args[0]; name {
 	case "help", "-h", "-help", "--help":
--- /dev/null
+++ b/cmd/balsamload/soak.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"balsamwinch.example/emulate"
+	"balsamwinch.example/emulate/soak"
+	"balsamwinch.example/timer"
+)
+
+// instanceCommand is the subcommand that soak starts for each instance; it is no command
+// for people.
+const instanceCommand = "soak-instance"
+
+// runInstance is the subcommand instanceCommand.
+func runInstance(ctx context.Context, _ []string, _, errOut io.Writer) error {
+	en := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	lg := zap.New(zapcore.NewCore(en, zapcore.Lock(zapcore.AddSync(errOut)), zap.InfoLevel))
+	return emulate.ServeInstance(ctx, os.Stdin, lg)
+}
+
+// runSoak is the subcommand soak.
+func runSoak(ctx context.Context, args []string, out, errOut io.Writer) error {
+	fl := flag.NewFlagSet("soak", flag.ContinueOnError)
+	asJSON := fl.Bool("json", false, "print JSON")
+	seed := fl.Uint64("seed", 0, "`number` from which faults and arrivals are drawn, in place of the file's")
+	length := fl.Duration("length", 0, "`time` under load, in place of the file's")
+	logs := fl.String("logs", "", "`folder` for the logs of the instances; it must exist")
+	if err := parse(fl, args, errOut, 1, "soak [FLAGS] FILE"); err != nil {
+		return err
+	}
+	cf, err := soak.Read(fl.Arg(0))
+	if err != nil {
+		return err
+	}
+	if *seed != 0 {
+		cf.Seed = *seed
+	}
+	if *length > 0 {
+		if *length <= cf.Quiet {
+			return &usageError{fmt.Sprintf("-length: want more than the file's Quiet, %v", cf.Quiet)}
+		}
+		cf.Length = *length
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	re, err := soak.Run(ctx, cf, soak.Program{Command: []string{program, instanceCommand}, Logs: *logs}, timer.New(), logger(errOut, false))
+	if err != nil {
+		return err
+	}
+	if *asJSON {
+		err = printJSON(out, re)
+	} else {
+		err = re.WriteTable(out)
+	}
+	switch {
+	case err != nil:
+		return err
+	case re.Broken() > 0:
+		return &verdictError{exitFailed, fmt.Sprintf("%d checks were broken, see above; seed %d", re.Broken(), re.Seed)}
+	case re.Dropped > 0 || len(re.Problems) > 0:
+		return &verdictError{exitInvalid, "the load or the faults were not those of the file, see above"}
+	default:
+		return nil
+	}
+}
