emulate/soak: servers of a run listen on a loopback address of its own; outlier: benchmarks

Ruled out: a fault of the tier, no check was broken. Change: 127.x.y.z, drawn for each run, and no second try at another port.

--- a/emulate/soak/fleet.go
+++ b/emulate/soak/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,11 +24,24 @@
 	ju *Judge
 	ts *timer.Service
 
+	// network is where servers listen: a loopback address of this run alone.
+	//
+	// A server that comes back at its address, or another one that gets it, needs the
+	// port again. On the usual loopback address, any process may have taken it meanwhile
+	// for a connection that it opened, and the fault could not be played.
+	network string
+
 	mu        sync.Mutex
 	positions []*emulate.Server
 	started   int
 }
 
+// anyNetwork returns a loopback address that hardly anybody else uses.
+func anyNetwork() string {
+	const first, count = 2, 250
+	return fmt.Sprintf("127.%d.%d.%d:0", first+rand.IntN(count), first+rand.IntN(count), first+rand.IntN(count))
+}
+
 // service returns the service of a position in a generation.
 func (cf Settings) service(position, generation int) string {
 	all := append(cf.shards(generation), cf.plainServices()...)
@@ -37,6 +51,9 @@
 // start starts a server of a service; address may be empty.
 func (fl *fleet) start(service, address string, nth int) (*emulate.Server, error) {
 	se := fl.cf.Servers
+	if address == "" {
+		address = fl.network
+	}
 	fl.mu.Lock()
 	fl.started++
 	number := fl.started
@@ -81,9 +98,6 @@
 		return nil
 	}
 	se, err := fl.start(old.Service(), address, position)
-	if err != nil && address != "" {
-		se, err = fl.start(old.Service(), "", position) // Another process took the port.
-	}
 	if err != nil {
 		return err
 	}
--- a/emulate/soak/run.go
+++ b/emulate/soak/run.go
@@ -97,7 +97,7 @@
 	pl := &player{cf: cf, lo: lo, ss: ss, ts: ts, played: make(map[Kind]int)}
 	ju := NewJudge(cf, pl.underWay)
 	pl.ju = ju
-	pl.fl = &fleet{cf: cf, ss: ss, ju: ju, ts: ts}
+	pl.fl = &fleet{cf: cf, ss: ss, ju: ju, ts: ts, network: anyNetwork()}
 	pl.op = &operator{cf: cf, ju: ju, ts: ts, co: co}
 	return &runner{cf: cf, ts: ts, lo: lo, ca: emulate.NewCaller(), ju: ju, pl: pl, st: newFigures()}
 }
--- /dev/null
+++ b/outlier/bench_test.go
@@ -0,0 +1,50 @@
+package outlier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// samples returns what an entry instance tells of so many backend servers.
+func samples(count int) []Sample {
+	sas := make([]Sample, count)
+	for ix := range sas {
+		sas[ix] = Sample{ID: fmt.Sprintf("i-%010x", ix), Count: 2, Log: 0.31, Served: 2}
+	}
+	return sas
+}
+
+// BenchmarkAdd is the cost of one message at the control instance that judges, and its
+// size.
+func BenchmarkAdd(b *testing.B) {
+	for _, count := range []int{12, 48} {
+		b.Run(fmt.Sprintf("samples=%d", count), func(b *testing.B) {
+			de, sas, now := New(), samples(count), time.Unix(1000, 0)
+			body, err := cbor.Marshal(sas)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				de.Add(now, sas)
+			}
+			b.ReportMetric(float64(len(body)), "bytes")
+		})
+	}
+}
+
+// BenchmarkFindings is the cost of one look at all backend servers.
+func BenchmarkFindings(b *testing.B) {
+	for _, count := range []int{100, 1000, 6900} {
+		b.Run(fmt.Sprintf("servers=%d", count), func(b *testing.B) {
+			de, sas, now := New(), samples(count), time.Unix(1000, 0)
+			for b.Loop() {
+				de.Add(now, sas)
+				now = now.Add(100 * time.Millisecond)
+				de.Findings(now)
+			}
+		})
+	}
+}
