--- a/emulate/experiment/experiment.go
+++ b/emulate/experiment/experiment.go
@@ -94,20 +94,10 @@
 
 func (ex Experiment) check(ck *settings.Checker) {
 	ck.Name(ex.Name, "Name")
-	settings.Between(ck, ex.Tier.Entries, 1, mostInstances, "Tier", "Entries")
-	settings.Between(ck, ex.Tier.Controls, 1, mostInstances, "Tier", "Controls")
-	ck.Want(len(ex.Tier.DataCentres) > 0, "at least one data centre", len(ex.Tier.DataCentres), "Tier", "DataCentres")
-	se := ex.Servers
-	settings.Between(ck, se.Shards, 1, mostServers, "Servers", "Shards")
-	settings.Between(ck, se.Replicas, 1, mostServers, "Servers", "Replicas")
-	settings.Between(ck, se.Slots, 1, mostServers, "Servers", "Slots")
-	settings.Between(ck, se.Records, 1, mostServers, "Servers", "Records")
-	settings.Between(ck, se.Connections, 1, mostRate, "Servers", "Connections")
-	ck.Want(se.Work.Median > 0, "a time above 0", se.Work.Median, "Servers", "Work", "Median")
-	for name, st := range map[string]Stream{"Merged": ex.Merged, "Plain": ex.Plain} {
-		settings.Between(ck, st.Rate, 0, mostRate, name, "Rate")
-		ck.Want(st.Timeout > 0, "a time above 0", st.Timeout, name, "Timeout")
-	}
+	ex.Tier.Check(ck, mostInstances)
+	ex.Servers.Check(ck)
+	ex.Merged.Check(ck, "Merged")
+	ex.Plain.Check(ck, "Plain")
 	settings.Between(ck, ex.Merged.TopK, 1, mostServers, "Merged", "TopK")
 	ck.Want(ex.Merged.Rate+ex.Plain.Rate > 0, "a rate above 0", 0, "Merged", "Rate")
 	ck.Want(len(ex.Arms) > 0, "at least one arm", len(ex.Arms), "Arms")
@@ -201,3 +191,26 @@
 	}
 	return out
 }
+
+// Check checks the part Tier of a file.
+func (ti Tier) Check(ck *settings.Checker, most int) {
+	settings.Between(ck, ti.Entries, 1, most, "Tier", "Entries")
+	settings.Between(ck, ti.Controls, 1, most, "Tier", "Controls")
+	ck.Want(len(ti.DataCentres) > 0, "at least one data centre", len(ti.DataCentres), "Tier", "DataCentres")
+}
+
+// Check checks the part Servers of a file.
+func (se Servers) Check(ck *settings.Checker) {
+	settings.Between(ck, se.Shards, 1, mostServers, "Servers", "Shards")
+	settings.Between(ck, se.Replicas, 1, mostServers, "Servers", "Replicas")
+	settings.Between(ck, se.Slots, 1, mostServers, "Servers", "Slots")
+	settings.Between(ck, se.Records, 1, mostServers, "Servers", "Records")
+	settings.Between(ck, se.Connections, 1, mostRate, "Servers", "Connections")
+	ck.Want(se.Work.Median > 0, "a time above 0", se.Work.Median, "Servers", "Work", "Median")
+}
+
+// Check checks the part of a file that describes a stream of requests.
+func (st Stream) Check(ck *settings.Checker, name string) {
+	settings.Between(ck, st.Rate, 0, mostRate, name, "Rate")
+	ck.Want(st.Timeout > 0, "a time above 0", st.Timeout, name, "Timeout")
+}
--- a/emulate/soak/settings.go
+++ b/emulate/soak/settings.go
@@ -90,22 +90,13 @@
 
 func (cf Settings) check(ck *settings.Checker) {
 	ck.Name(cf.Name, "Name")
-	settings.Between(ck, cf.Tier.Entries, 1, mostInstances, "Tier", "Entries")
-	settings.Between(ck, cf.Tier.Controls, 1, mostInstances, "Tier", "Controls")
-	ck.Want(len(cf.Tier.DataCentres) > 0, "at least one data centre", len(cf.Tier.DataCentres), "Tier", "DataCentres")
-	se := cf.Servers
-	settings.Between(ck, se.Shards, 1, mostServers, "Servers", "Shards")
-	settings.Between(ck, se.Replicas, 1, mostServers, "Servers", "Replicas")
-	settings.Between(ck, se.Slots, 1, mostServers, "Servers", "Slots")
-	settings.Between(ck, se.Records, 1, mostServers, "Servers", "Records")
-	settings.Between(ck, se.Connections, 1, mostRate, "Servers", "Connections")
-	ck.Want(se.Work.Median > 0, "a time above 0", se.Work.Median, "Servers", "Work", "Median")
+	cf.Tier.Check(ck, mostInstances)
+	cf.Servers.Check(ck)
 	settings.Between(ck, cf.PlainServices, 2, mostServers, "PlainServices")
 	settings.Between(ck, cf.MaxAttempts, 1, mostServers, "MaxAttempts")
-	for name, st := range map[string]experiment.Stream{"Merged": cf.Merged, "Plain": cf.Plain, "Once": cf.Once} {
-		settings.Between(ck, st.Rate, 0, mostRate, name, "Rate")
-		ck.Want(st.Timeout > 0, "a time above 0", st.Timeout, name, "Timeout")
-	}
+	cf.Merged.Check(ck, "Merged")
+	cf.Plain.Check(ck, "Plain")
+	cf.Once.Check(ck, "Once")
 	settings.Between(ck, cf.Merged.TopK, 1, mostServers, "Merged", "TopK")
 	ck.Want(cf.Merged.Rate+cf.Plain.Rate+cf.Once.Rate > 0, "a rate above 0", 0, "Merged", "Rate")
 	ck.Want(cf.Length > cf.Quiet && cf.Quiet >= 0, "more than Quiet", cf.Length, "Length")
--- /dev/null
+++ b/scatter/events.go
@@ -0,0 +1,143 @@
+package scatter
+
+import "time"
+
+// Asked says that an attempt for a shard is under way. From hedgeAt on a second
+// one is wanted beside it; the zero time means never.
+func (qu *Query) Asked(po int, hedgeAt time.Time) {
+	sh := &qu.shards[po]
+	sh.flying++
+	sh.next = hedgeAt
+	if hedgeAt.IsZero() {
+		sh.next = qu.pl.Deadline
+	}
+}
+
+// Denied says that an attempt could not be begun and may be tried again later.
+// At Offer a shard that nobody is asked for is given up: a caller that waits
+// for nothing is better told so at once.
+func (qu *Query) Denied(now time.Time, po int, ca Cause, again time.Time) {
+	sh := &qu.shards[po]
+	if sh.flying > 0 {
+		sh.next = again
+		return
+	}
+	sh.blame(ca)
+	if !now.Before(qu.pl.Offer) {
+		qu.lose(sh)
+		qu.settle(now)
+		return
+	}
+	sh.next = qu.withinOffer(again)
+}
+
+// withinOffer returns the time of the next look, at Offer at the latest: given up
+// is what can't be had by then, and not some time later.
+func (qu *Query) withinOffer(at time.Time) time.Time {
+	if at.After(qu.pl.Offer) {
+		return qu.pl.Offer
+	}
+	return at
+}
+
+// Nobody says that nobody is left who could be asked for a shard and that nobody is
+// expected. Unless an attempt is under way, the shard is given up at once: held
+// until Offer, an answer would come late for a part that can't come. Beside an
+// attempt it only means that there is no hedge before the given time.
+func (qu *Query) Nobody(now time.Time, po int, ca Cause, again time.Time) {
+	sh := &qu.shards[po]
+	if sh.flying > 0 {
+		sh.next = again
+		return
+	}
+	sh.blame(ca)
+	qu.lose(sh)
+	qu.settle(now)
+}
+
+// Room says that a shard which waits for a server or a connection need not wait
+// any more.
+func (qu *Query) Room(now time.Time, po int) {
+	sh := &qu.shards[po]
+	if sh.flying == 0 && now.Before(sh.next) {
+		sh.next = now
+	}
+}
+
+// Replied says how an attempt ended, and settles the query if that decides it.
+func (qu *Query) Replied(now time.Time, po int, re Reply) {
+	sh := &qu.shards[po]
+	sh.flying--
+	if sh.have {
+		return
+	}
+	switch re {
+	case ReplyPart:
+		sh.have, sh.cause = true, CauseNone
+		if sh.lost {
+			sh.lost = false
+			qu.lost--
+		}
+		qu.have++
+	case ReplyBusy:
+		qu.busy(now, sh)
+	case ReplyNotRun:
+		sh.refused++
+		qu.ended(now, sh, CauseNotRun)
+	case ReplyFailed:
+		sh.ran++
+		qu.ended(now, sh, CauseFailed)
+	case ReplyLost:
+		sh.ran++
+		qu.ended(now, sh, CauseLost)
+	}
+	qu.settle(now)
+}
+
+// ended decides what follows an attempt without a part.
+func (qu *Query) ended(now time.Time, sh *shard, ca Cause) {
+	sh.blame(ca)
+	if sh.flying > 0 {
+		return // The other attempt may still bring the part.
+	}
+	if sh.ran >= max(1, qu.pl.MaxAttempts) || sh.refused > refusals || (sh.ran > 0 && !qu.pl.Repeatable) {
+		qu.lose(sh)
+		return
+	}
+	sh.next = now
+	if sh.refused > 1 {
+		sh.next = now.Add(qu.pl.Pause * time.Duration(sh.refused-1))
+	}
+}
+
+// busy has a shard asked again soon, and later each time. Having no connection free
+// is this instance's own lack and no refusal of a backend server: counted as one, a
+// burst of requests right after a start, while connections are few, would fail
+// within milliseconds although the servers have room. For the same reason a part of
+// a merged answer is waited for as long as the other parts are, since Offer is Hold
+// there.
+func (qu *Query) busy(now time.Time, sh *shard) {
+	sh.blame(CauseBusy)
+	if sh.flying > 0 {
+		return
+	}
+	if !now.Before(qu.pl.Offer) && sh.ran == 0 && sh.refused == 0 {
+		qu.lose(sh)
+		return
+	}
+	sh.next = now.Add(qu.pl.Pause << min(sh.busy, busyDoublings))
+	sh.busy++
+	if sh.ran == 0 && sh.refused == 0 {
+		sh.next = qu.withinOffer(sh.next)
+	}
+}
+
+func (qu *Query) lose(sh *shard) {
+	if !sh.lost {
+		sh.lost = true
+		qu.lost++
+	}
+}
+
+// blame notes why a shard has no part, unless more is known already.
+func (sh *shard) blame(ca Cause) { sh.cause = max(sh.cause, ca) }
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -50,19 +50,8 @@
 }
 
 func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
-	now := ts.Now()
 	up := upstream.New(upstream.Config{Names: di.Names().Upstream()}, ts, lg)
-	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
-	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
-	en := &entry{di: di, re: re, ts: ts, lg: lg}
-	en.gw = gateway.New(gateway.Config{
-		Names: di.Names(), Name: se.Name, DataCentre: se.DataCentre, CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
-	}, ts, lg, up, re, bu)
-	en.su = feed.NewSubscriber(feed.SubscriberConfig{
-		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
-		Seeds: sh.linkSeeds, Link: lc, Hold: serverHold,
-	}, ts, lg, en)
-	en.st = &standing{tell: en.su.SetState}
+	en := newEntry(se, sh, di, lc, up, ts, lg)
 	li, err := listen(se.Listen.Callers)
 	if err != nil {
 		return err
@@ -75,12 +64,30 @@
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	sp.Add(service{"callers", en.door.Serve})
-	sp.Add(service{"news", func(ctx context.Context) error { return en.tellNews(ctx) }})
-	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, re, ts, lg) }})
+	sp.Add(service{"news", en.tellNews})
+	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
 }
 
+// newEntry returns an entry instance that has no listener yet.
+func newEntry(se Settings, sh *shared, di Dialect, lc link.Config, up *upstream.Client, ts *timer.Service, lg *zap.Logger) *entry {
+	now := ts.Now()
+	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
+	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
+	en := &entry{di: di, re: re, ts: ts, lg: lg}
+	en.gw = gateway.New(gateway.Config{
+		Names: di.Names(), Name: se.Name, DataCentre: se.DataCentre,
+		CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
+	}, ts, lg, up, re, bu)
+	en.su = feed.NewSubscriber(feed.SubscriberConfig{
+		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
+		Seeds: sh.linkSeeds, Link: lc, Hold: serverHold,
+	}, ts, lg, en)
+	en.st = &standing{tell: en.su.SetState}
+	return en
+}
+
 // ready reports whether callers may be sent here.
 func (en *entry) ready() bool { return !en.st.left() && en.gw.Table() != nil }
 
