gateway, tier, cmd/balsamload: one way to read a body, answer in JSON, print a report, choose the hedge share

The hedge share of tier was dead, since each ask names its own: 0.08 stood in three places. Change: gateway.ReadBody, tier.WriteJSON, printReport for any report; the dead constant goes.

--- a/cmd/balsamload/experiment.go
+++ b/cmd/balsamload/experiment.go
@@ -96,7 +96,10 @@
 	return zap.New(zapcore.NewCore(en, zapcore.Lock(zapcore.AddSync(wr)), level))
 }
 
-func printReport(out io.Writer, re load.Report, asJSON bool) error {
+// tabled is a report that prints itself as a table.
+type tabled interface{ WriteTable(out io.Writer) error }
+
+func printReport(out io.Writer, re tabled, asJSON bool) error {
 	if asJSON {
 		return printJSON(out, re)
 	}
--- a/cmd/balsamload/routed.go
+++ b/cmd/balsamload/routed.go
@@ -25,14 +25,10 @@
 	if err != nil {
 		return err
 	}
-	if *asJSON {
-		err = printJSON(out, re)
-	} else {
-		err = re.WriteTable(out)
+	if err := printReport(out, re, *asJSON); err != nil {
+		return err
 	}
 	switch {
-	case err != nil:
-		return err
 	case re.Wrong() > 0:
 		return &verdictError{exitBroken, "an answer was wrong, see above"}
 	case re.Dropped > 0:
--- a/cmd/balsamload/soak.go
+++ b/cmd/balsamload/soak.go
@@ -7,9 +7,6 @@
 	"io"
 	"os"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
 	"balsamwinch.example/emulate"
 	"balsamwinch.example/emulate/soak"
 	"balsamwinch.example/timer"
@@ -21,9 +18,7 @@
 
 // runInstance is the subcommand instanceCommand.
 func runInstance(ctx context.Context, _ []string, _, errOut io.Writer) error {
-	en := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-	lg := zap.New(zapcore.NewCore(en, zapcore.Lock(zapcore.AddSync(errOut)), zap.InfoLevel))
-	return emulate.ServeInstance(ctx, os.Stdin, lg)
+	return emulate.ServeInstance(ctx, os.Stdin, logger(errOut, true))
 }
 
 // runSoak is the subcommand soak.
@@ -57,14 +52,10 @@
 	if err != nil {
 		return err
 	}
-	if *asJSON {
-		err = printJSON(out, re)
-	} else {
-		err = re.WriteTable(out)
+	if err := printReport(out, re, *asJSON); err != nil {
+		return err
 	}
 	switch {
-	case err != nil:
-		return err
 	case re.Broken() > 0:
 		return &verdictError{exitFailed, fmt.Sprintf("%d checks were broken, see above; seed %d", re.Broken(), re.Seed)}
 	case re.Dropped > 0 || len(re.Problems) > 0:
--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 
 	"balsamwinch.example/gateway"
@@ -62,7 +60,7 @@
 	mx.HandleFunc("GET /addresses", func(wr http.ResponseWriter, rq *http.Request) {
 		qu := rq.URL.Query()
 		list, ttl := ad.Addresses(qu.Get("DataCentre"), qu.Get("Region"))
-		writeJSON(wr, http.StatusOK, addressList{Addresses: list, TTLMillis: ttl.Milliseconds()})
+		tier.WriteJSON(wr, http.StatusOK, addressList{Addresses: list, TTLMillis: ttl.Milliseconds()})
 	})
 	return mx
 }
@@ -75,7 +73,7 @@
 			writeFault(wr, http.StatusServiceUnavailable, "not ready")
 			return
 		}
-		writeJSON(wr, http.StatusOK, struct{}{})
+		tier.WriteJSON(wr, http.StatusOK, struct{}{})
 	})
 	return mx
 }
@@ -119,7 +117,7 @@
 		writeFault(wr, tier.AcceptStatus(err), err.Error())
 		return
 	}
-	writeJSON(wr, http.StatusOK, struct{}{})
+	tier.WriteJSON(wr, http.StatusOK, struct{}{})
 }
 
 func (ch *controlHandler) read(wr http.ResponseWriter, rq *http.Request) {
@@ -155,37 +153,22 @@
 		return
 	}
 	ch.co.Announce(se)
-	writeJSON(wr, http.StatusOK, struct{}{})
+	tier.WriteJSON(wr, http.StatusOK, struct{}{})
 }
 
 func (ch *controlHandler) leave(wr http.ResponseWriter, rq *http.Request) {
 	ch.co.Leave(rq.PathValue("id"))
-	writeJSON(wr, http.StatusOK, struct{}{})
+	tier.WriteJSON(wr, http.StatusOK, struct{}{})
 }
 
 func (ch *controlHandler) body(wr http.ResponseWriter, rq *http.Request) ([]byte, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, ch.co.BodyLimit()))
-	var mb *http.MaxBytesError
-	switch {
-	case errors.As(err, &mb):
-		writeFault(wr, http.StatusRequestEntityTooLarge, "body too large")
-	case err != nil:
-		writeFault(wr, http.StatusBadRequest, "body can't be read")
+	data, status, detail := gateway.ReadBody(wr, rq, ch.co.BodyLimit())
+	if status != 0 {
+		writeFault(wr, status, detail)
 	}
-	return data, err == nil
+	return data, status == 0
 }
 
 func writeFault(wr http.ResponseWriter, status int, detail string) {
-	writeJSON(wr, status, faultAnswer{detail})
-}
-
-func writeJSON(wr http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		wr.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	wr.Header().Set("Content-Type", "application/json")
-	wr.WriteHeader(status)
-	_, _ = wr.Write(data)
+	tier.WriteJSON(wr, status, faultAnswer{detail})
 }
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// ReadBody reads the whole body of a request, of at most limit bytes; 0 or less is no
+// limit. If it can't be had, status is the HTTP status to answer with and detail says
+// why; otherwise status is 0.
+func ReadBody(wr http.ResponseWriter, rq *http.Request, limit int64) (body []byte, status int, detail string) {
+	rd := io.Reader(rq.Body)
+	if limit > 0 {
+		rd = http.MaxBytesReader(wr, rq.Body, limit)
+	}
+	body, err := io.ReadAll(rd)
+	var mb *http.MaxBytesError
+	switch {
+	case errors.As(err, &mb):
+		return nil, http.StatusRequestEntityTooLarge, bodyTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest, "body can't be read"
+	}
+	return body, 0, ""
+}
+
+const bodyTooLarge = "body too large"
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -90,23 +89,14 @@
 	if ca.rq.Body == nil || ca.rq.Body == http.NoBody {
 		return true
 	}
-	limit := ca.tb.Limits().BodyBytes
-	if limit > 0 && ca.rq.ContentLength > int64(limit) {
-		ca.fail(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, "body too large")
+	limit := int64(ca.tb.Limits().BodyBytes)
+	if limit > 0 && ca.rq.ContentLength > limit {
+		ca.fail(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, bodyTooLarge)
 		return false
 	}
-	rd := io.Reader(ca.rq.Body)
-	if limit > 0 {
-		rd = http.MaxBytesReader(ca.wr, ca.rq.Body, int64(limit))
-	}
-	body, err := io.ReadAll(rd)
-	var mb *http.MaxBytesError
-	switch {
-	case errors.As(err, &mb):
-		ca.fail(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, "body too large")
-		return false
-	case err != nil:
-		ca.fail(http.StatusBadRequest, result.NotRunBadRequest, "body can't be read")
+	body, status, detail := ReadBody(ca.wr, ca.rq, limit)
+	if status != 0 {
+		ca.fail(status, result.NotRunBadRequest, detail)
 		return false
 	}
 	ca.body = body
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,11 @@
 
 // New returns a gateway that refuses all requests until it has a table.
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
-	sv := &Server{cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), qu: newQueue(), limits: make(map[string]int), expected: make(map[string]time.Time)}
+	sv := &Server{
+		cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu,
+		pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), qu: newQueue(),
+		limits: make(map[string]int), expected: make(map[string]time.Time),
+	}
 	sv.shares.Store(&map[string]int{})
 	sv.scarce.Store(&scarcity{})
 	sv.seen.Store(&picture{})
--- a/replica/news.go
+++ b/replica/news.go
@@ -58,8 +58,8 @@
 		sa := se.news
 		sa.ID, se.news = id, outlier.Sample{}
 		out = append(out, sa)
-		tb.newsFrom = id + "\x00"
 	}
+	tb.newsFrom = out[len(out)-1].ID + "\x00" // This is the least id after it.
 	return out
 }
 
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -68,3 +69,15 @@
 	// first, and for how long the answer may be kept.
 	Addresses(dataCentre, region string) ([]string, time.Duration)
 }
+
+// WriteJSON answers a call with a body in JSON.
+func WriteJSON(wr http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		wr.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	_, _ = wr.Write(data)
+}
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -24,7 +24,6 @@
 	holdMargin  = 6 * time.Millisecond
 	lingerFor   = 250 * time.Millisecond
 	mostActive  = 400
-	hedgeShare  = 0.08
 	budgetShare = 0.95
 	// serverHold is how long a backend server that no control instance hears any
 	// more is still used: control instances restart, and the announcements that
@@ -73,7 +72,7 @@
 // newEntry returns an entry instance that has no listener yet.
 func newEntry(se Settings, sh *shared, di Dialect, lc link.Config, up *upstream.Client, ts *timer.Service, lg *zap.Logger) *entry {
 	now := ts.Now()
-	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano()), HedgeShare: hedgeShare})
+	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano())})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
 	en := &entry{di: di, re: re, ts: ts, lg: lg}
 	en.gw = gateway.New(gateway.Config{
