--- a/emulate/announce.go
+++ b/emulate/announce.go
@@ -50,7 +50,7 @@
 func (co *Control) Announce(ctx context.Context, se registry.Server) error {
 	data, err := json.Marshal(announcement{
 		Service: se.Service, Address: se.Address, DataCentre: se.DataCentre, Version: se.Version,
-		Slots: se.Slots, State: se.State.String(), Sequence: se.Sequence, WarmMillis: se.WarmMillis,
+		Slots: se.Slots, State: se.State.String(), Sequence: se.Sequence, WarmMillis: se.WarmMillis, Born: se.Born,
 	})
 	if err != nil {
 		return err
--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -97,8 +97,11 @@
 	State      string // State is Ready or Draining.
 	Sequence   uint64
 	WarmMillis int64
+	Born       int64 `json:",omitempty"` // Born is when the server started, in Unix milliseconds; it may be left out.
 }
 
+const badState = "State: want Ready or Draining"
+
 type controlHandler struct {
 	co tier.ControlCalls
 }
@@ -137,19 +140,21 @@
 	}
 	var an announcement
 	if err := json.Unmarshal(data, &an); err != nil {
+		ch.co.Ignore(rq.PathValue("id"), err.Error())
 		writeFault(wr, http.StatusBadRequest, err.Error())
 		return
 	}
 	se := registry.Server{
 		ID: rq.PathValue("id"), Service: an.Service, Address: an.Address, DataCentre: an.DataCentre, Version: an.Version,
-		Slots: an.Slots, Sequence: an.Sequence, WarmMillis: an.WarmMillis,
+		Slots: an.Slots, Sequence: an.Sequence, WarmMillis: an.WarmMillis, Born: an.Born,
 	}
 	switch an.State {
 	case registry.Ready.String():
 	case registry.Draining.String():
 		se.State = registry.Draining
 	default:
-		writeFault(wr, http.StatusBadRequest, "State: want Ready or Draining")
+		ch.co.Ignore(se.ID, badState)
+		writeFault(wr, http.StatusBadRequest, badState)
 		return
 	}
 	ch.co.Announce(se)
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -252,6 +252,7 @@
 	*heard
 	version uint64
 	data    []byte
+	ignored []string
 }
 
 func (ca *calls) Accept(_ context.Context, version uint64, data []byte) error {
@@ -266,6 +267,8 @@
 func (ca *calls) Leave(id string)  { _ = ca.heard.Leave(context.Background(), id) }
 func (ca *calls) BodyLimit() int64 { return 1 << 16 }
 
+func (ca *calls) Ignore(id, detail string) { ca.ignored = append(ca.ignored, id+": "+detail) }
+
 // What a server and an operator say through the client arrives at control
 // unchanged, also if another instance before it doesn't answer.
 func TestDialectCalls(t *testing.T) {
--- a/emulate/server.go
+++ b/emulate/server.go
@@ -30,6 +30,7 @@
 	Service    string
 	DataCentre string
 	Version    string // Version is that of the server's software.
+	Born       int64  // Born is when this start began, in Unix milliseconds; 0 says nothing of it.
 	Address    string // Address is the IP:port to listen on; default any port at 127.0.0.1.
 	Slots      int    // Slots is how many requests are worked on at once; at least 1.
 	Queue      int    // Queue is how many requests wait for a slot before further ones are refused.
@@ -203,7 +204,7 @@
 	state := registry.State(se.state.Load())
 	err := se.an.Announce(ctx, registry.Server{
 		ID: se.cf.ID, Service: se.cf.Service, Address: se.Address(), DataCentre: se.cf.DataCentre, Version: se.cf.Version,
-		Slots: se.cf.Slots, State: state, Sequence: se.seq.Add(1), WarmMillis: warm.Milliseconds(),
+		Slots: se.cf.Slots, State: state, Sequence: se.seq.Add(1), WarmMillis: warm.Milliseconds(), Born: se.cf.Born,
 	})
 	if err == nil {
 		se.heard.Store(true)
--- a/emulate/soak/fleet.go
+++ b/emulate/soak/fleet.go
@@ -48,8 +48,14 @@
 	return all[position/cf.Servers.Replicas]
 }
 
-// start starts a server of a service; address may be empty.
+// start starts a server of a service under a new id; address may be empty.
 func (fl *fleet) start(service, address string, nth int) (*emulate.Server, error) {
+	return fl.startAs("", service, address, nth)
+}
+
+// startAs starts a server under an id, a new one if it is empty. All servers say when
+// they started, so that one which had the id before can be told apart.
+func (fl *fleet) startAs(id, service, address string, nth int) (*emulate.Server, error) {
 	se := fl.cf.Servers
 	if address == "" {
 		address = fl.network
@@ -58,8 +64,11 @@
 	fl.started++
 	number := fl.started
 	fl.mu.Unlock()
+	if id == "" {
+		id = fmt.Sprintf("%s-%d", service, number)
+	}
 	cf := emulate.Config{
-		ID: fmt.Sprintf("%s-%d", service, number), Service: service, Address: address,
+		ID: id, Service: service, Address: address, Born: fl.ts.Now().UnixMilli(),
 		DataCentre: fl.cf.Tier.DataCentres[nth%len(fl.cf.Tier.DataCentres)],
 		Slots:      se.Slots, Queue: se.Queue, Connections: se.Connections, ConnectionCost: se.ConnectionCost,
 		Work: se.Work, Pause: se.Pause, Records: se.Records, ReportLoad: true,
@@ -97,14 +106,29 @@
 	if fl.at(position) != old {
 		return nil
 	}
-	se, err := fl.start(old.Service(), address, position)
-	if err != nil {
-		return err
+	return fl.put(position)(fl.start(old.Service(), address, position))
+}
+
+// again starts a server that has ended once more under its id and at its address,
+// unless another one is in its place already.
+func (fl *fleet) again(position int, old *emulate.Server) error {
+	if fl.at(position) != old {
+		return nil
+	}
+	return fl.put(position)(fl.startAs(old.ID(), old.Service(), old.Address(), position))
+}
+
+// put returns what puts a server that was started in a position.
+func (fl *fleet) put(position int) func(*emulate.Server, error) error {
+	return func(se *emulate.Server, err error) error {
+		if err != nil {
+			return err
+		}
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		fl.positions[position] = se
+		return nil
 	}
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.positions[position] = se
-	return nil
 }
 
 // next starts the servers of a further generation of shards, waits until control
--- a/emulate/soak/player.go
+++ b/emulate/soak/player.go
@@ -87,7 +87,11 @@
 	}
 	switch fa.Kind {
 	case ServerCrash, ServiceCrash:
-		return pl.crash(ctx, fa)
+		return pl.crash(ctx, fa, func(position int, old *emulate.Server) error {
+			return pl.fl.replace(position, old, old.Address())
+		})
+	case ServerAgain:
+		return pl.crash(ctx, fa, pl.fl.again)
 	case ServerReplace:
 		return pl.replace(ctx, fa)
 	case ServerDrain:
@@ -152,8 +156,8 @@
 	return errors.Join(err, pl.startAll([]string{name}))
 }
 
-// crash ends servers at once; new ones come at their addresses.
-func (pl *player) crash(ctx context.Context, fa Fault) error {
+// crash ends servers at once, and has others come back in their positions.
+func (pl *player) crash(ctx context.Context, fa Fault, back func(position int, old *emulate.Server) error) error {
 	var errs []error
 	var olds []*emulate.Server
 	for _, position := range fa.targets(pl.cf) {
@@ -163,7 +167,7 @@
 	}
 	pl.last(ctx, fa)
 	for ix, position := range fa.targets(pl.cf) {
-		errs = append(errs, pl.fl.replace(position, olds[ix], olds[ix].Address()))
+		errs = append(errs, back(position, olds[ix]))
 	}
 	return errors.Join(errs...)
 }
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -35,6 +35,7 @@
 	ConfigTwo     Kind = "ConfigTwo"     // ConfigTwo is two operators at once, with different versions.
 	ConfigAgain   Kind = "ConfigAgain"   // ConfigAgain sends the newest acknowledged configuration again.
 	ConfigInvalid Kind = "ConfigInvalid" // ConfigInvalid sends one that must be refused.
+	ServerAgain   Kind = "ServerAgain"   // ServerAgain ends a backend server at once; it starts again under its id.
 )
 
 // Kinds returns all kinds.
@@ -44,6 +45,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
+		ServerAgain, // At the end, so that seeds of before draw what they drew.
 	}
 }
 
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -143,6 +143,14 @@
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
+	if se.State == registry.Gone {
+		pu.left(now, se.ID, pu.book.Announce(now, se))
+		return
+	}
+	if pu.book.Foreign(se) {
+		pu.lo.info(now, "announcement-ignored", append(serverFields(se), zap.String("Detail", "not this backend server's own word"))...)
+		return
+	}
 	if !pu.book.Announce(now, se) {
 		return
 	}
@@ -150,6 +158,15 @@
 	pu.change(now, registry.Change{Server: se})
 }
 
+// Ignore takes that something was announced under an id which no backend server says
+// of itself. It changes nothing.
+func (pu *Publisher) Ignore(id, detail string) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	pu.lo.info(now, "announcement-ignored", zap.String("ID", id), zap.String("Detail", detail))
+}
+
 // Known returns the backend servers that announce themselves here, and a number
 // that grows with every change of them.
 func (pu *Publisher) Known() ([]registry.Server, uint64) {
@@ -178,11 +195,17 @@
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
-	if !pu.book.Leave(now, id) {
+	pu.left(now, id, pu.book.Leave(now, id))
+}
+
+// left tells that a backend server has left, if that is news.
+func (pu *Publisher) left(now time.Time, id string, news bool) {
+	if !news {
 		return
 	}
-	pu.lo.info(now, "backend-server-left", zap.String("ID", id))
-	pu.change(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone}})
+	se, _ := pu.book.Left(id)
+	pu.lo.info(now, "backend-server-left", zap.String("ID", id), zap.Int64("Born", se.Born))
+	pu.change(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone, Born: se.Born}})
 }
 
 // change makes the next update tell a change.
@@ -193,7 +216,7 @@
 }
 
 // add takes in a change. The order of ids stays: which of two ids at one address
-// is the newer one follows from it. That a server drains is not overtaken by
+// is the newer one follows from it. That an incarnation drains is not overtaken by
 // anything that it says later.
 func (pe *pending) add(ch registry.Change) {
 	place, ok := pe.places[ch.Server.ID]
@@ -202,8 +225,8 @@
 		pe.servers = append(pe.servers, ch)
 		return
 	}
-	if !ch.Dropped {
-		ch.Server.State = max(ch.Server.State, pe.servers[place].Server.State)
+	if was := pe.servers[place].Server; !ch.Dropped && ch.Server.Born <= was.Born {
+		ch.Server.State = max(ch.Server.State, was.State)
 	}
 	pe.servers[place] = ch
 }
@@ -443,6 +466,6 @@
 func serverFields(se registry.Server) []zap.Field {
 	return []zap.Field{
 		zap.String("ID", se.ID), zap.String("Service", se.Service),
-		zap.String("Address", se.Address), zap.Stringer("State", se.State),
+		zap.String("Address", se.Address), zap.Stringer("State", se.State), zap.Int64("Born", se.Born),
 	}
 }
--- a/feed/publisher_test.go
+++ b/feed/publisher_test.go
@@ -417,3 +417,21 @@
 		c.Check(len(pu.Entries()), qt.Equals, 0)
 	})
 }
+
+// A backend server drains, ends and starts again between two updates. Were its states
+// joined by id alone, entry instances would hear that the new start drains, or is gone.
+func TestPendingStartsAgain(t *testing.T) {
+	first := registry.Server{ID: "a", Service: "s", Address: "a:1", State: registry.Draining, Sequence: 9, Born: 10}
+	gone := registry.Server{ID: "a", State: registry.Gone, Born: 10}
+	again := registry.Server{ID: "a", Service: "s", Address: "a:1", Sequence: 1, Born: 20}
+	pe := newPending()
+	for _, se := range []registry.Server{first, gone, again} {
+		pe.add(registry.Change{Server: se})
+	}
+	qt.Assert(t, pe.servers, qt.DeepEquals, []registry.Change{{Server: again}})
+	again.State, again.Sequence = registry.Draining, 2
+	pe.add(registry.Change{Server: again})
+	again.State, again.Sequence = registry.Ready, 3
+	pe.add(registry.Change{Server: again})
+	qt.Assert(t, pe.servers[0].Server.State, qt.Equals, registry.Draining)
+}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -123,6 +123,10 @@
 	}
 }
 
+// NameServices takes over which services the configuration in force uses. It is called
+// by the observer as that changes.
+func (su *Subscriber) NameServices(services map[string]bool) { su.un.Name(services) }
+
 // MarkGone takes in that the process at a backend server's address has said that
 // it is not that server. The server does not come back.
 func (su *Subscriber) MarkGone(id string) {
@@ -297,7 +301,7 @@
 		for _, se := range ses {
 			was, known := before[se.ID]
 			delete(before, se.ID)
-			if !known || was.State != se.State || was.Address != se.Address {
+			if !known || was.State != se.State || was.Address != se.Address || was.Born != se.Born {
 				su.lo.info(now, "backend-server-changed", serverFields(se)...)
 			}
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -202,7 +202,7 @@
 func (cr *carrier) exchange(ctx context.Context, at attempt) {
 	sv := cr.ca.sv
 	se := at.pk.Server
-	rs := sv.up.Do(ctx, sv.target(se.Service, se.ID, se.Address), cr.rq)
+	rs := sv.up.Do(ctx, sv.target(se), cr.rq)
 	now := sv.ts.Now()
 	sv.re.Done(now, at.pk, report(ctx, rs))
 	if rs.Outcome != upstream.NoConnection { // Two that find none would wake each other for ever.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"balsamwinch.example/registry"
 	"balsamwinch.example/route"
 	"balsamwinch.example/upstream"
 )
@@ -77,7 +78,7 @@
 		}
 		shares[name] = most
 		for _, se := range ses {
-			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Connections: most, Idle: sc.idle(se.ID)}
+			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Born: se.Born, Connections: most, Idle: sc.idle(se.ID)}
 		}
 	}
 	sv.scarce.Store(sc)
@@ -114,9 +115,10 @@
 	}
 }
 
-// target returns how a backend server of a service is reached.
-func (sv *Server) target(service, id, address string) upstream.Target {
+// target returns how a backend server is reached.
+func (sv *Server) target(se registry.Server) upstream.Target {
 	return upstream.Target{
-		ID: id, Address: address, Connections: max(1, (*sv.shares.Load())[service]), Idle: sv.scarce.Load().idle(id),
+		ID: se.ID, Address: se.Address, Born: se.Born,
+		Connections: max(1, (*sv.shares.Load())[se.Service]), Idle: sv.scarce.Load().idle(se.ID),
 	}
 }
--- a/registry/book.go
+++ b/registry/book.go
@@ -27,11 +27,12 @@
 type Book struct {
 	silence time.Duration
 
-	mu    sync.Mutex
-	wa    watch
-	heard map[string]*heard
-	left  *memory[Server]
-	count uint64 // count is how many ids were heard for the first time.
+	mu     sync.Mutex
+	wa     watch
+	heard  map[string]*heard
+	left   *memory[Server]
+	count  uint64 // count is how many incarnations were heard for the first time.
+	births int    // births counts those in heard that say when they started.
 }
 
 // heard is a server that announces itself.
@@ -54,24 +55,29 @@
 
 // Announce takes what a server says of itself and reports whether it is news
 // for others; a new sequence alone isn't, nor is a shorter rest of WarmMillis.
-// It ignores a server without an id, an id that has left, a sequence that isn't
-// higher than the one before, and, in a full book, ids that aren't in it. A
-// Draining server stays so, whatever it says later. Gone is taken as Leave.
+// It ignores a server without an id, an incarnation that has left, a sequence that
+// isn't higher than the one before, one that is Foreign, and, in a full book, ids
+// that aren't in it. A Draining incarnation stays so, whatever it says later. Gone is
+// taken as Leave of that incarnation and those before.
+//
+// A later incarnation replaces the earlier one whole. Were the id enough, a server
+// that starts again would stay Draining, or away for good, until all instances have
+// started again, too. What is said late by an earlier incarnation is ignored.
 func (bk *Book) Announce(now time.Time, se Server) (changed bool) {
-	if se.State == Gone {
-		return bk.Leave(now, se.ID)
-	}
 	bk.mu.Lock()
 	defer bk.mu.Unlock()
 	at := bk.wa.look(now)
-	if _, ok := bk.left.get(se.ID); ok || se.ID == "" {
+	if se.State == Gone {
+		return bk.leave(at, se.ID, se.Born)
+	}
+	if was, ok := bk.left.get(se.ID); ok && se.Born <= was.Born || se.ID == "" || bk.foreign(se) {
 		return false
 	}
 	he, ok := bk.heard[se.ID]
-	if !ok {
-		return bk.add(at, se)
-	}
-	if se.Sequence <= he.server.Sequence {
+	switch {
+	case !ok || se.Born > he.server.Born:
+		return bk.begin(at, se)
+	case se.Born < he.server.Born || se.Sequence <= he.server.Sequence:
 		return false
 	}
 	he.at = at
@@ -81,15 +87,55 @@
 	return changed
 }
 
+// begin puts an incarnation that wasn't heard before in the place of its id.
+func (bk *Book) begin(at time.Duration, se Server) bool {
+	bk.drop(se.ID)
+	if !bk.add(at, se) {
+		return false
+	}
+	bk.left.remove(se.ID)
+	return true
+}
+
+// Foreign reports whether an announcement can't be a backend server's own: it names
+// another service than the same incarnation did, or says no start while most servers
+// in the book do. Such a one would take a server out of its service, or show one that
+// isn't there; callers would get fewer parts.
+func (bk *Book) Foreign(se Server) bool {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return bk.foreign(se)
+}
+
+func (bk *Book) foreign(se Server) bool {
+	if he, ok := bk.heard[se.ID]; ok && he.server.Born == se.Born && he.server.Service != se.Service {
+		return true
+	}
+	return se.Born == 0 && 2*bk.births > len(bk.heard)
+}
+
 func (bk *Book) add(at time.Duration, se Server) bool {
 	if len(bk.heard) >= mostHeard {
 		return false
 	}
 	bk.count++
 	bk.heard[se.ID] = &heard{server: se, order: bk.count, at: at}
+	if se.Born != 0 {
+		bk.births++
+	}
 	return true
 }
 
+// drop takes a server out of the book.
+func (bk *Book) drop(id string) {
+	if he, ok := bk.heard[id]; ok {
+		if he.server.Born != 0 {
+			bk.births--
+		}
+		delete(bk.heard, id)
+	}
+}
+
 // Restore takes in what a book held before its process ended. What isn't
 // announced again within keep is dropped; nothing is overwritten that was
 // announced since.
@@ -107,27 +153,41 @@
 	}
 }
 
-// Leave takes that a server has left, and reports whether it is news. The id is
-// remembered as Gone for 10 minutes, also one never heard before, so that an
-// announcement which arrives after it changes nothing; of more than 10000 such
-// ids the oldest are forgotten.
+// Leave takes that a server has left, whichever incarnation of it is known, and
+// reports whether it is news. The id is remembered as Gone for 10 minutes, also one
+// never heard before, so that an announcement which arrives after it changes nothing;
+// of more than 10000 such ids the oldest are forgotten.
 func (bk *Book) Leave(now time.Time, id string) (changed bool) {
 	bk.mu.Lock()
 	defer bk.mu.Unlock()
-	at := bk.wa.look(now)
-	if _, ok := bk.left.get(id); ok || id == "" {
+	return bk.leave(bk.wa.look(now), id, 0)
+}
+
+// leave takes that an incarnation has left; 0 stands for the one that is known.
+func (bk *Book) leave(at time.Duration, id string, born int64) bool {
+	if was, ok := bk.left.get(id); ok && born <= was.Born || id == "" {
 		return false
 	}
 	se := Server{ID: id}
 	if he, ok := bk.heard[id]; ok {
+		if born != 0 && born < he.server.Born {
+			return false // An earlier incarnation says so late.
+		}
 		se = he.server
-		delete(bk.heard, id)
+		bk.drop(id)
 	}
-	se.State = Gone
+	se.State, se.Born = Gone, max(se.Born, born)
 	bk.left.put(at, id, se)
 	return true
 }
 
+// Left returns the record of a server that has left.
+func (bk *Book) Left(id string) (Server, bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return bk.left.get(id)
+}
+
 // Expire drops the servers that have been silent for too long and returns their
 // ids, sorted. They aren't Gone: another control instance may hear them.
 func (bk *Book) Expire(now time.Time) []string {
@@ -139,7 +199,7 @@
 	for id, he := range bk.heard {
 		if at-he.at >= bk.silence {
 			ids = append(ids, id)
-			delete(bk.heard, id)
+			bk.drop(id)
 		}
 	}
 	slices.Sort(ids)
--- a/registry/item.go
+++ b/registry/item.go
@@ -21,9 +21,11 @@
 	listed  *Server       // listed is what is in the groups of it; nil if nothing is.
 }
 
-// fate is what is remembered of an id that is no item any more.
+// fate is what is remembered of an id that is no item any more: of its last
+// incarnation.
 type fate struct {
 	order    uint64
+	born     int64
 	draining bool
 	gone     bool
 }
@@ -64,11 +66,17 @@
 	if se.ID == "" {
 		return
 	}
-	if se.State == Gone {
-		un.bury(se.ID)
+	it, ok := un.items[se.ID]
+	switch {
+	case ok && se.Born != 0 && se.Born < it.server.Born:
+		return // An earlier incarnation says so late, or a source hasn't heard of the later one.
+	case se.State == Gone:
+		un.bury(se.ID, se.Born)
 		return
+	case ok && se.Born > it.server.Born:
+		un.remove(it, it.fate())
+		ok = false
 	}
-	it, ok := un.items[se.ID]
 	if !ok {
 		if it, ok = un.add(se); !ok {
 			return
@@ -87,16 +95,22 @@
 	}
 }
 
-// add makes the item of an id, unless that is Gone. If the id was known before,
-// it has its old place in the order of first hearing.
+// fate returns what is remembered of an item that leaves without being Gone.
+func (it *item) fate() fate {
+	return fate{order: it.order, born: it.server.Born, draining: it.server.State == Draining}
+}
+
+// add makes the item of an id, unless its incarnation is Gone or an earlier one. If
+// the incarnation was known before, it has its old place in the order of first
+// hearing.
 func (un *Union) add(se Server) (*item, bool) {
 	fa, known := un.past.get(se.ID)
-	if fa.gone {
+	if known && (se.Born < fa.born || se.Born == fa.born && fa.gone) {
 		return nil, false
 	}
-	if !known {
+	if !known || se.Born > fa.born {
 		un.count++
-		fa.order = un.count
+		fa = fate{order: un.count}
 	}
 	un.past.remove(se.ID)
 	it := &item{server: se, order: fa.order, sources: make(map[*source]struct{})}
@@ -125,22 +139,24 @@
 	un.touched[se.Address] = struct{}{}
 }
 
-// bury makes an id Gone.
-func (un *Union) bury(id string) {
+// bury makes an id Gone up to an incarnation; 0 stands for the one that is known.
+func (un *Union) bury(id string, born int64) {
 	if it, ok := un.items[id]; ok {
-		un.remove(it, fate{order: it.order, gone: true})
+		un.remove(it, fate{order: it.order, born: max(born, it.server.Born), gone: true})
 		return
 	}
-	if fa, _ := un.past.get(id); !fa.gone {
-		un.past.put(un.wa.running, id, fate{order: fa.order, gone: true})
+	fa, _ := un.past.get(id)
+	if late := born != 0 && born < fa.born; late || fa.gone && born <= fa.born {
+		return
 	}
+	un.past.put(un.wa.running, id, fate{order: fa.order, born: max(born, fa.born), gone: true})
 }
 
-// remove takes an item out and remembers its fate. If it was the newest at its
-// address, the older ones that aren't held leave with it for good.
+// remove takes an item out and remembers its fate. If it was the one that counts at
+// its address, the older ones that aren't held leave with it for good.
 func (un *Union) remove(it *item, fa fate) {
 	ad := it.server.Address
-	newest := ad != "" && !un.superseded(it)
+	counted := ad != "" && !un.superseded(it)
 	delete(un.items, it.server.ID)
 	for so := range it.sources {
 		delete(so.held, it.server.ID)
@@ -148,21 +164,38 @@
 	un.past.put(un.wa.running, it.server.ID, fa)
 	un.displace(it)
 	un.list(it, false)
-	if newest {
+	if counted {
 		blind := un.blind()
 		for _, older := range slices.Clone(un.spots[ad]) {
-			if !older.held() && (!blind || len(older.sources) == 0) {
-				un.remove(older, fate{order: older.order, gone: true})
+			if older.order < it.order && !older.held() && (!blind || len(older.sources) == 0) {
+				un.remove(older, fate{order: older.order, born: older.server.Born, gone: true})
 			}
 		}
 	}
 }
 
-// superseded reports whether a newer id has the item's address. Servers without
-// an address don't supersede each other.
+// superseded reports whether another id has the item's address: the one first heard of
+// last among those of services that are named, or else among all. Servers without an
+// address don't supersede each other.
+//
+// Something that no backend server said may name the address of one, with a service
+// that nobody knows. By its order alone it would take that server away from callers.
 func (un *Union) superseded(it *item) bool {
+	if it.server.Address == "" {
+		return false
+	}
 	its := un.spots[it.server.Address]
-	return it.server.Address != "" && its[len(its)-1] != it
+	for _, other := range slices.Backward(its) {
+		if un.names(other) {
+			return other != it
+		}
+	}
+	return its[len(its)-1] != it
+}
+
+// names reports whether the item's service is named; all are until Name is called.
+func (un *Union) names(it *item) bool {
+	return un.named == nil || un.named[it.server.Service]
 }
 
 // place puts an item among those of its address.
--- a/registry/server.go
+++ b/registry/server.go
@@ -13,7 +13,7 @@
 const (
 	Ready    State = iota // Ready servers take requests.
 	Draining              // Draining servers end what they have and should get nothing new.
-	Gone                  // Gone servers have left; their id never returns.
+	Gone                  // Gone servers have left; their id returns only with a later start.
 )
 
 // String returns the name of the state, or its number when it is not known.
@@ -30,17 +30,20 @@
 	}
 }
 
-// Server is what one incarnation of a backend server announced last.
+// Server is what one incarnation of a backend server announced last. A server that
+// starts again under its id is another incarnation, with a higher Born; it holds
+// nothing of the one before, and its Sequence begins anew.
 type Server struct {
-	ID         string `cbor:"1,keyasint"` // ID is new at each start.
+	ID         string `cbor:"1,keyasint"`
 	Service    string `cbor:"2,keyasint,omitempty"`
 	Address    string `cbor:"3,keyasint,omitempty"` // Address is its IP:port.
 	DataCentre string `cbor:"4,keyasint,omitempty"`
 	Version    string `cbor:"5,keyasint,omitempty"` // Version is that of its software.
 	Slots      int    `cbor:"6,keyasint,omitempty"` // Slots is how many requests it works on at once.
 	State      State  `cbor:"7,keyasint,omitempty"`
-	Sequence   uint64 `cbor:"8,keyasint,omitempty"` // Sequence grows with each announcement of the id.
-	WarmMillis int64  `cbor:"9,keyasint,omitempty"` // WarmMillis is for how many more milliseconds it is slow after its start.
+	Sequence   uint64 `cbor:"8,keyasint,omitempty"`  // Sequence grows with each announcement of the incarnation.
+	WarmMillis int64  `cbor:"9,keyasint,omitempty"`  // WarmMillis is for how many more milliseconds it is slow after its start.
+	Born       int64  `cbor:"10,keyasint,omitempty"` // Born is when the incarnation started, in Unix milliseconds by its own clock; 0 if it doesn't say.
 }
 
 // alike reports whether the two say the same but for the sequence and for how
--- a/registry/server_test.go
+++ b/registry/server_test.go
@@ -9,7 +9,7 @@
 
 var whole = Server{
 	ID: "i", Service: "s", Address: "10.0.0.1:80", DataCentre: "d", Version: "v1",
-	Slots: 2, State: Draining, Sequence: 4, WarmMillis: 3000,
+	Slots: 2, State: Draining, Sequence: 4, WarmMillis: 3000, Born: 1700000000000,
 }
 
 // TestWire fixes the numbers of the fields: instances of two releases read each
@@ -19,6 +19,7 @@
 	fields := map[any]any{
 		uint64(1): "i", uint64(2): "s", uint64(3): "10.0.0.1:80", uint64(4): "d", uint64(5): "v1",
 		uint64(6): uint64(2), uint64(7): uint64(1), uint64(8): uint64(4), uint64(9): uint64(3000),
+		uint64(10): uint64(1700000000000),
 	}
 	for _, tc := range []struct {
 		name        string
@@ -62,6 +63,7 @@
 		{"version", func(se *Server) { se.Version = "v2" }, false},
 		{"slots", func(se *Server) { se.Slots++ }, false},
 		{"state", func(se *Server) { se.State = Ready }, false},
+		{"start", func(se *Server) { se.Born++ }, false},
 	} {
 		other := whole
 		tc.change(&other)
--- a/registry/union.go
+++ b/registry/union.go
@@ -14,8 +14,8 @@
 // Union is what an entry instance knows of the backend servers from the books
 // of all control instances, its sources. It is safe for concurrent use.
 //
-// An id that a source calls Gone never returns, and one that a source calls
-// Draining stays so. Of two ids at one address the one first heard of later is
+// An incarnation that a source calls Gone never returns, and one that a source calls
+// Draining stays so; a later one under the same id replaces it. Of two ids at one address the one first heard of later is
 // listed. The older one isn't, and it is Gone for good once it has been held by
 // no connected source for the time hold, or the newer one leaves while it isn't.
 //
@@ -36,7 +36,8 @@
 	items   map[string]*item
 	spots   map[string][]*item // spots holds the items of an address, the one first heard of last at the end.
 	past    *memory[fate]
-	count   uint64 // count is how many ids were heard of for the first time.
+	named   map[string]bool // named are the services in use; nil for all.
+	count   uint64          // count is how many ids were heard of for the first time.
 
 	version uint64
 	touched map[string]struct{}          // touched holds the addresses that must be looked at before the call ends.
@@ -135,12 +136,27 @@
 	}
 }
 
+// Name takes which services are in use. A server of another service stays listed, but
+// never in the place of one of these that has the same address. The map must not be
+// changed later.
+func (un *Union) Name(services map[string]bool) {
+	un.mu.Lock()
+	defer un.mu.Unlock()
+	un.named = services
+	for ad, its := range un.spots {
+		if len(its) > 1 {
+			un.touched[ad] = struct{}{}
+		}
+	}
+	un.publish()
+}
+
 // MarkGone takes that the server at the id's address said that it is another
 // incarnation, so that the id never returns.
 func (un *Union) MarkGone(id string) {
 	un.mu.Lock()
 	defer un.mu.Unlock()
-	un.bury(id)
+	un.bury(id, 0)
 	un.publish()
 }
 
@@ -159,7 +175,9 @@
 		case blind || it.held():
 			it.at = at
 		case at-it.at >= un.hold:
-			un.remove(it, fate{order: it.order, draining: it.server.State == Draining, gone: un.superseded(it)})
+			fa := it.fate()
+			fa.gone = un.superseded(it)
+			un.remove(it, fa)
 		}
 	}
 	return un.publish()
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -112,3 +112,25 @@
 	c.Assert(be.tb.moved, qt.HasLen, mostMoved)
 	c.Assert(be.tb.movedOrder, qt.HasLen, mostMoved)
 }
+
+// A backend server starts again under its id after its address was another's for a
+// while, or after it was slow. Judged by the start before, it would get no request for
+// good; and what is still under way there must not count for the new one.
+func TestStartsAgain(t *testing.T) {
+	c := qt.New(t)
+	be := newBench(c, ready("a"), ready("b"))
+	be.settle("a", "b")
+	old := be.only("a")
+	be.end("a", ms, Moved)
+	be.list(ready("a"), ready("b"))
+	c.Assert(be.shares(50), qt.DeepEquals, map[string]int{"b": 50})
+	again := ready("a")
+	again.Born = 20
+	be.list(again, ready("b"))
+	be.tb.Done(be.now, old, Report{Kind: Failed})
+	c.Assert(be.shares(50)["a"] > 10, qt.IsTrue)
+	c.Assert(be.tb.Ready("s"), qt.Equals, 2)
+	// The start before stays moved, in case somebody still lists it.
+	be.list(ready("a"), ready("b"))
+	c.Assert(be.tb.Ready("s"), qt.Equals, 1)
+}
--- a/replica/table.go
+++ b/replica/table.go
@@ -52,14 +52,22 @@
 	services   map[string][]*server
 	servers    map[string]*server
 	works      map[string]*work
-	moved      map[string]bool // moved are the ids of servers that moved.
-	movedOrder []string        // movedOrder lists them, the oldest first.
-	limits     map[string]int  // limits are the most requests in flight at one server, by service.
-	candidates []candidate     // candidates is room for those of one choice.
-	home       map[string]bool // home are the ids preferred like those in the own data centre.
-	newsFrom   string          // newsFrom is the id after which the next news begin.
+	moved      map[incarnation]bool // moved are the servers that moved.
+	movedOrder []incarnation        // movedOrder lists them, the oldest first.
+	limits     map[string]int       // limits are the most requests in flight at one server, by service.
+	candidates []candidate          // candidates is room for those of one choice.
+	home       map[string]bool      // home are the ids preferred like those in the own data centre.
+	newsFrom   string               // newsFrom is the id after which the next news begin.
 }
 
+// incarnation names one start of a backend server.
+type incarnation struct {
+	id   string
+	born int64
+}
+
+func incarnationOf(re registry.Server) incarnation { return incarnation{re.ID, re.Born} }
+
 // New returns a table without servers.
 func New(cf Config) *Table {
 	if cf.HedgeShare <= 0 {
@@ -72,7 +80,7 @@
 		services: make(map[string][]*server),
 		servers:  make(map[string]*server),
 		works:    make(map[string]*work),
-		moved:    make(map[string]bool),
+		moved:    make(map[incarnation]bool),
 	}
 }
 
@@ -87,8 +95,8 @@
 }
 
 // Update takes over the servers by service. What is known of ids that stay is
-// kept, that of others forgotten, except that they moved. Only ready servers
-// are chosen.
+// kept, that of others and of earlier starts under the same id forgotten, except that
+// they moved. Only ready servers are chosen.
 func (tb *Table) Update(now time.Time, ses map[string][]registry.Server) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -99,9 +107,9 @@
 	for name, records := range ses {
 		for _, re := range records {
 			se := old[re.ID]
-			if se == nil {
+			if se == nil || se.record.Born != re.Born {
 				se = newServer(at, re)
-				se.moved = tb.moved[re.ID]
+				se.moved = tb.moved[incarnationOf(re)]
 			}
 			se.record = re
 			tb.servers[re.ID] = se
@@ -253,8 +261,8 @@
 		return
 	}
 	se.moved = true
-	tb.moved[se.record.ID] = true
-	tb.movedOrder = append(tb.movedOrder, se.record.ID)
+	tb.moved[incarnationOf(se.record)] = true
+	tb.movedOrder = append(tb.movedOrder, incarnationOf(se.record))
 	if len(tb.movedOrder) > mostMoved {
 		delete(tb.moved, tb.movedOrder[0])
 		tb.movedOrder = tb.movedOrder[1:]
--- a/tier/control.go
+++ b/tier/control.go
@@ -136,6 +136,9 @@
 // Leave takes a backend server's word that it leaves.
 func (co *control) Leave(id string) { co.pu.Leave(id) }
 
+// Ignore takes that what was announced is no backend server's word.
+func (co *control) Ignore(id, detail string) { co.pu.Ignore(id, detail) }
+
 // BodyLimit bounds a body of these calls in bytes.
 func (co *control) BodyLimit() int64 { return apiBodyBytes }
 
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -37,10 +37,14 @@
 	// Newest returns the newest accepted configuration, or an error if this
 	// instance can't be sure which it is.
 	Newest(ctx context.Context) (version uint64, data []byte, err error)
-	// Announce takes a backend server's announcement.
+	// Announce takes a backend server's announcement, Gone for one that leaves and
+	// says which start of it does.
 	Announce(se registry.Server)
 	// Leave takes a backend server's word that it leaves.
 	Leave(id string)
+	// Ignore takes that something was announced under an id which no backend server
+	// says of itself, and why.
+	Ignore(id, detail string)
 	// BodyLimit bounds a body of these calls in bytes.
 	BodyLimit() int64
 }
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/result"
+	"balsamwinch.example/route"
 	"balsamwinch.example/timer"
 	"balsamwinch.example/trail"
 	"balsamwinch.example/upstream"
@@ -113,6 +114,7 @@
 	if err != nil {
 		return &result.Error{Code: result.Invalid, Op: "read configuration", Err: err}
 	}
+	en.su.NameServices(serviceNames(tb))
 	en.gw.SetTable(tb)
 	en.door.SetLimits(tb.Limits())
 	en.st.ready()
@@ -120,6 +122,14 @@
 	return nil
 }
 
+func serviceNames(tb *route.Table) map[string]bool {
+	names := make(map[string]bool)
+	for _, se := range tb.Services() {
+		names[se.Name] = true
+	}
+	return names
+}
+
 // ServersChanged takes over which backend servers exist.
 func (en *entry) ServersChanged(ses map[string][]registry.Server) { en.gw.SetServers(ses) }
 
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -106,6 +106,7 @@
 	accept, read  call
 	announcements *vm.Counter
 	leaves        *vm.Counter
+	ignored       *vm.Counter
 	lookUps       *vm.Counter
 	emptyLookUps  *vm.Counter
 }
@@ -129,6 +130,7 @@
 		co: co, ts: ts, set: set, accept: series("Accept"), read: series("Read"),
 		announcements: set.NewCounter("balsamwinch_announcements_total"),
 		leaves:        set.NewCounter("balsamwinch_leaves_total"),
+		ignored:       set.NewCounter("balsamwinch_ignored_announcements_total"),
 		lookUps:       set.NewCounter("balsamwinch_address_look_ups_total"),
 		emptyLookUps:  set.NewCounter("balsamwinch_address_look_ups_empty_total"),
 	}
@@ -169,6 +171,12 @@
 	cu.co.Leave(id)
 }
 
+// Ignore counts and passes the call on.
+func (cu *counted) Ignore(id, detail string) {
+	cu.ignored.Inc()
+	cu.co.Ignore(id, detail)
+}
+
 // BodyLimit passes the call on.
 func (cu *counted) BodyLimit() int64 { return cu.co.BodyLimit() }
 
--- a/tier/meters_test.go
+++ b/tier/meters_test.go
@@ -106,6 +106,7 @@
 }
 func (fakeCalls) Announce(registry.Server) {}
 func (fakeCalls) Leave(string)             {}
+func (fakeCalls) Ignore(string, string)    {}
 func (fakeCalls) BodyLimit() int64         { return 9 }
 func (fc fakeCalls) Addresses(string, string) ([]string, time.Duration) {
 	return fc.addrs, time.Second
@@ -122,6 +123,7 @@
 		qt.Assert(t, cu.BodyLimit(), qt.Equals, int64(9))
 		cu.Announce(registry.Server{})
 		cu.Leave("i-1")
+		cu.Ignore("i-1", "no state")
 		addrs, keep := cu.Addresses("", "")
 		qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.1:80"})
 		qt.Assert(t, keep, qt.Equals, time.Second)
@@ -145,6 +147,7 @@
 			`balsamwinch_control_call_seconds_count{call="Read"} 1`,
 		})
 		qt.Assert(t, shown(cu.set.WritePrometheus, "balsamwinch_control_calls_failed"), qt.DeepEquals, []string{`balsamwinch_control_calls_failed_total{call="Accept"} 1`})
+		qt.Assert(t, shown(cu.set.WritePrometheus, "balsamwinch_ignored"), qt.DeepEquals, []string{"balsamwinch_ignored_announcements_total 1"})
 		qt.Assert(t, shown(cu.set.WritePrometheus, "balsamwinch_a"), qt.DeepEquals, []string{
 			"balsamwinch_address_look_ups_empty_total 1", "balsamwinch_address_look_ups_total 2", "balsamwinch_announcements_total 1",
 		})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -30,6 +30,7 @@
 	nc      net.Conn
 	raw     syscall.RawConn // raw is nil if nc has no descriptor.
 	address string
+	born    int64         // born is that of the server's start for which it was opened.
 	used    bool          // used says that it has carried a request.
 	keep    time.Duration // keep is how long the server said it keeps it idle; 0 if it didn't.
 	expires time.Time     // expires is when it may not be used any more while idle.
@@ -92,6 +93,7 @@
 	limit     int
 	idleMost  time.Duration // idleMost is how long a connection may stay idle.
 	address   string
+	born      int64 // born is that of the newest start of the server that was named.
 	open      int
 	dialing   int     // dialing counts those of open that are being opened.
 	idle      []*conn // idle are in the order of their return, the newest last.
@@ -204,8 +206,10 @@
 	if ta.Idle > 0 {
 		po.idleMost = min(ta.Idle, po.idleMost)
 	}
-	if po.address != ta.Address {
-		po.address, po.dark = ta.Address, false
+	if po.address != ta.Address || po.born < ta.Born {
+		// Connections to an earlier start are dead, some of them without a word: each
+		// would cost the request on it.
+		po.address, po.born, po.dark = ta.Address, max(po.born, ta.Born), false
 		po.closeIdle(func(*conn) bool { return true })
 	}
 }
@@ -250,10 +254,10 @@
 	po.open++
 	po.dialing++
 	wa.dialing = true
-	go po.dial(wa, po.address)
+	go po.dial(wa, po.address, po.born)
 }
 
-func (po *pool) dial(wa *waiter, address string) {
+func (po *pool) dial(wa *waiter, address string, born int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), po.cl.cf.Dial)
 	defer cancel()
 	nc, err := po.cl.cf.Connect(ctx, address)
@@ -269,6 +273,7 @@
 	}
 	po.regained(address)
 	cn := newConn(nc, address)
+	cn.born = born
 	if !po.grantTo(wa, grant{cn: cn}) {
 		po.settle(cn, true)
 	}
@@ -314,7 +319,7 @@
 // settle gives a clean connection to the longest waiter or makes it idle, and
 // closes any other.
 func (po *pool) settle(cn *conn, clean bool) {
-	if !clean || po.retired || cn.address != po.address || po.open > po.limit {
+	if !clean || po.retired || cn.address != po.address || cn.born != po.born || po.open > po.limit {
 		po.drop(cn)
 		po.serveWaiters()
 		return
