feed: dials are no more eager while no control instance is connected

Either does what the other does; invitations alone also reach instances that know no seed which is back, so the dials go. The constants and the comment's figures go with them.

--- a/feed/source.go
+++ b/feed/source.go
@@ -19,13 +19,6 @@
 	// at the same moment and must not come back at the same moment.
 	redialLeast = 100 * time.Millisecond
 	redialMost  = time.Second
-	// aloneDial bounds a dial, and aloneDelay is the mean time before the next attempt,
-	// while no control instance is connected. An instance that has just started refuses
-	// all callers then; one that serves on what it knows misses changes. On five days
-	// that end with a stop of the whole tier, callers' share of worth rose by 0.001 to
-	// 0.004 each against dials of 250 ms and growing delays (one run a day).
-	aloneDial  = 100 * time.Millisecond
-	aloneDelay = 40 * time.Millisecond
 	// steady is how long a link must stand to make the next redial an early one.
 	steady = time.Second
 	// forgetAfter is how long a control instance must be wanted by nobody. When all
@@ -117,7 +110,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		began := su.ts.Now()
-		co, err := link.Dial(ctx, so.address, su.dialConfig())
+		co, err := link.Dial(ctx, so.address, su.cf.Link)
 		if err == nil {
 			err = su.listen(ctx, so, co)
 		}
@@ -128,30 +121,14 @@
 		if co != nil || failures == 0 {
 			su.post(ctx, event{so: so, err: err})
 		}
-		if !so.wait(ctx, su.redialDelay(failures)) {
+		if !so.wait(ctx, redialDelay(failures)) {
 			return
 		}
 		failures++
 	}
 }
 
-// dialConfig returns how the next link is made.
-func (su *Subscriber) dialConfig() link.Config {
-	lc := su.cf.Link
-	if su.Connected() == 0 {
-		lc.Dial = min(lc.Dial, aloneDial)
-	}
-	return lc
-}
-
 // redialDelay returns the time before the next attempt.
-func (su *Subscriber) redialDelay(failures int) time.Duration {
-	if su.Connected() == 0 {
-		return aloneDelay/2 + rand.N(aloneDelay)
-	}
-	return redialDelay(failures)
-}
-
 func redialDelay(failures int) time.Duration {
 	delay := redialLeast << min(failures, 4)
 	return min(delay, redialMost/2) + rand.N(min(delay, redialMost/2))
