upstream: a superseded request is dropped at once, not read out

Hypothesis: reading out the reply of a loser for up to 250 ms keeps its connection, but the backend server works for nobody and what waits behind it is late.

Change: the exchange ends with its context whatever the cause; Request.Linger, the lingering connections of a pool, their eviction and reading out are gone, with the tests of just these (TestLinger, TestLingerEnds, TestLingerGivesWay). TestSuperseded now demands for its one case what it demanded for no lingering; the property test draws no lingering any more.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -161,7 +161,6 @@
 		Body:      ca.body,
 		RequestID: ca.id,
 		Expect:    true,
-		Linger:    ca.sv.cf.Linger,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,6 @@
 	DataCentre     string        // DataCentre is where this instance runs.
 	CallerDistance time.Duration // CallerDistance is the one-way time to a caller.
 	HoldMargin     time.Duration // HoldMargin is kept between the end of a hold and a route's aim.
-	Linger         time.Duration // Linger is how long a superseded reply is read out to keep its connection.
 	MostActive     int           // MostActive bounds the requests under way.
 }
 
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -23,7 +23,6 @@
 // Bounds of an entry instance.
 const (
 	holdMargin  = 6 * time.Millisecond
-	lingerFor   = 250 * time.Millisecond
 	mostActive  = 400
 	budgetShare = 0.95
 	// serverHold is how long a backend server that no control instance hears any
@@ -83,7 +82,7 @@
 	en := &entry{di: di, re: re, ts: ts, lg: lg}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.Names(), Name: se.Name, DataCentre: se.DataCentre,
-		CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, Linger: lingerFor, MostActive: mostActive,
+		CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, MostActive: mostActive,
 	}, ts, lg, up, re, bu)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
--- a/upstream/error.go
+++ b/upstream/error.go
@@ -8,7 +8,7 @@
 // Errors that callers may look for with errors.Is in Result.Err.
 var (
 	// ErrSuperseded is the cause with which a caller cancels the context of a
-	// request that another one made superfluous; see Request.Linger.
+	// request that another one made superfluous.
 	ErrSuperseded = errors.New("superseded by another request")
 	// ErrUnreachable means that no connection to the server could be opened.
 	ErrUnreachable = errors.New("server is unreachable")
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -84,23 +84,22 @@
 }
 
 // pool holds the connections to one server. Each is counted in open from before
-// its dial until it is closed, and is being dialed, busy, idle or lingering.
+// its dial until it is closed, and is being dialed, busy or idle.
 type pool struct {
 	cl *Client
 	id string
 
-	mu        sync.Mutex
-	limit     int
-	idleMost  time.Duration // idleMost is how long a connection may stay idle.
-	address   string
-	born      int64 // born is that of the newest start of the server that was named.
-	open      int
-	dialing   int     // dialing counts those of open that are being opened.
-	idle      []*conn // idle are in the order of their return, the newest last.
-	lingering []*conn // lingering await a reply that nobody wants, the oldest first.
-	waiters   []*waiter
-	retired   bool // retired says that the server is not in use any more.
-	gone      bool // gone says that the client has forgotten the pool.
+	mu       sync.Mutex
+	limit    int
+	idleMost time.Duration // idleMost is how long a connection may stay idle.
+	address  string
+	born     int64 // born is that of the newest start of the server that was named.
+	open     int
+	dialing  int     // dialing counts those of open that are being opened.
+	idle     []*conn // idle are in the order of their return, the newest last.
+	waiters  []*waiter
+	retired  bool // retired says that the server is not in use any more.
+	gone     bool // gone says that the client has forgotten the pool.
 
 	dark          bool      // dark says that nothing came in answer to the last dial.
 	unreachable   bool      // unreachable says that the last dial failed and that it was logged.
@@ -140,9 +139,6 @@
 		po.mu.Unlock()
 		return grant{cn: cn}, true
 	}
-	if po.open >= po.limit {
-		po.evict()
-	}
 	wait := po.cl.cf.Wait
 	if po.open >= po.limit && po.dark && po.dialing == po.open {
 		po.mu.Unlock()
@@ -229,16 +225,6 @@
 	return nil
 }
 
-// evict closes the connection that has lingered longest, to make room for a
-// request that somebody wants.
-func (po *pool) evict() {
-	if len(po.lingering) > 0 {
-		cn := po.lingering[0]
-		po.lingering = slices.Delete(po.lingering, 0, 1)
-		po.drop(cn)
-	}
-}
-
 // drop closes a connection that is in no other place any more.
 func (po *pool) drop(cn *conn) {
 	_ = cn.nc.Close()
@@ -338,25 +324,6 @@
 	}
 }
 
-// linger counts a busy connection among the lingering ones.
-func (po *pool) linger(cn *conn) {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	po.lingering = append(po.lingering, cn)
-}
-
-// endLinger ends the lingering of a connection, unless it was closed meanwhile.
-func (po *pool) endLinger(cn *conn, clean bool) {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	at := slices.Index(po.lingering, cn)
-	if at < 0 {
-		return
-	}
-	po.lingering = slices.Delete(po.lingering, at, at+1)
-	po.settle(cn, clean)
-}
-
 func (po *pool) closeIdle(chosen func(*conn) bool) {
 	po.idle = slices.DeleteFunc(po.idle, func(cn *conn) bool {
 		if chosen(cn) {
@@ -391,9 +358,6 @@
 	defer po.mu.Unlock()
 	po.retired = true
 	po.closeIdle(func(*conn) bool { return true })
-	for len(po.lingering) > 0 {
-		po.evict()
-	}
 	po.gone = po.open == 0 && len(po.waiters) == 0
 	return po.gone
 }
--- a/upstream/reply.go
+++ b/upstream/reply.go
@@ -26,8 +26,7 @@
 // headRequest tells the reply reader that no body follows.
 var headRequest = &http.Request{Method: http.MethodHead}
 
-// receive reads the reply. After a read that timed out it can be called again
-// where resumable says so.
+// receive reads the reply.
 func (ex *exchange) receive() error {
 	for ex.rs == nil {
 		if err := ex.readHead(); err != nil {
@@ -45,7 +44,6 @@
 	if !ex.beginsAsHTTP() {
 		return errNotHTTP
 	}
-	ex.partial = true
 	var hr *http.Request
 	if ex.isHead {
 		hr = headRequest
@@ -54,7 +52,6 @@
 	if err != nil {
 		return err
 	}
-	ex.partial = false
 	switch {
 	case rs.ProtoMajor != 1 || rs.StatusCode < http.StatusContinue || rs.StatusCode == http.StatusSwitchingProtocols:
 		return errNotHTTP
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -101,11 +101,6 @@
 	RequestID string    // RequestID is what the reply must echo; empty checks nothing.
 	Deadline  time.Time // Deadline is when the exchange ends at the latest; zero for none.
 	Expect    bool      // Expect tells the server the id of the target.
-	// Linger is how long the reply is still awaited after the context was
-	// cancelled with the cause ErrSuperseded, so that the connection can be kept.
-	// Do returns at once all the same. By default the connection is closed, which
-	// tells the server to drop the request.
-	Linger time.Duration
 
 	head []byte // head is what Prepare has written.
 }
