tier: an entry instance whose port for links is taken serves all the same

Found by reading: with an entry and a control instance of one address on one machine, the entry instance's start failed since it listens for invitations. It now says so and finds control by its seeds, as before. The notes and invitations of a control instance are added in a function of their own. Checked: go test ./tier ./emulate/...

--- a/tier/control.go
+++ b/tier/control.go
@@ -45,9 +45,6 @@
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
 	me := memory{dir: se.DataFolder, pu: co.pu, ot: &others{}, ts: ts, lg: lg}
 	me.restore(se.Timing.Announcement)
-	su := feed.NewSubscriber(feed.SubscriberConfig{
-		Self: feed.Entry{Name: se.Name, DataCentre: se.DataCentre}, Seeds: sh.linkSeeds, Link: lc, Hold: serverHold, Own: se.LinkAddress(),
-	}, ts, lg, me.ot)
 	co.nd = fleet.New(fleet.Config{
 		Name: se.Name, Address: se.LinkAddress(), Seeds: sh.linkSeeds, First: se.FirstStart, Losses: se.Losses,
 		Dir: se.DataFolder, Election: se.Timing.Election, Heartbeat: se.Timing.Heartbeat, Link: lc,
@@ -68,16 +65,25 @@
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
-	sp.Add(service{"memory", func(ctx context.Context) error { return me.serve(ctx, se.LinkPort) }})
-	sp.Add(service{"others", su.Serve})
+	addMemory(sp, me, se, sh, lc)
+	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.Entries) }})
+	serveUntil(ctx, sp, co.leave)
+	return nil
+}
+
+// addMemory adds what keeps the notes of a control instance, and invites the entry
+// instances that were noted before this start.
+func addMemory(sp *suture.Supervisor, me memory, se Settings, sh *shared, lc link.Config) {
+	su := feed.NewSubscriber(feed.SubscriberConfig{
+		Self: feed.Entry{Name: se.Name, DataCentre: se.DataCentre}, Seeds: sh.linkSeeds, Link: lc, Hold: serverHold, Own: se.LinkAddress(),
+	}, me.ts, me.lg, me.ot)
 	entries := me.entries()
+	sp.Add(service{"others", su.Serve})
+	sp.Add(service{"memory", func(ctx context.Context) error { return me.serve(ctx, se.LinkPort) }})
 	sp.Add(service{"invite", func(ctx context.Context) error {
-		feed.InviteAll(ctx, lc, lg, feed.Invite{Name: se.Name, Address: se.LinkAddress()}, entries)
+		feed.InviteAll(ctx, lc, me.lg, feed.Invite{Name: se.Name, Address: se.LinkAddress()}, entries)
 		return suture.ErrDoNotRestart
 	}})
-	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.Entries) }})
-	serveUntil(ctx, sp, co.leave)
-	return nil
 }
 
 // leave hands the lead over and goes on answering for a moment.
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
 	"balsamwinch.example/budget"
@@ -55,10 +56,6 @@
 	if err != nil {
 		return err
 	}
-	invites, err := listen(se.LinkAddress())
-	if err != nil {
-		return err
-	}
 	en.door = newDoor(li, en.gw, ts, lg)
 	sp := supervise("entry", lg)
 	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
@@ -66,7 +63,7 @@
 	}
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinks(en.su), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
-	sp.Add(service{"invitations", func(ctx context.Context) error { return link.Serve(ctx, invites, lc, en.su.HandleInvite) }})
+	en.addInvitations(sp, se.LinkAddress(), lc)
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"news", en.tellNews})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, en.re, ts, lg) }})
@@ -74,6 +71,18 @@
 	return nil
 }
 
+// addInvitations adds what takes invitations of control instances. Without it the
+// instance still finds them by its seeds: the port may be a control instance's that runs
+// on the same machine.
+func (en *entry) addInvitations(sp *suture.Supervisor, address string, lc link.Config) {
+	li, err := listen(address)
+	if err != nil {
+		en.lg.Warn("invitations-not-taken", zap.Error(err))
+		return
+	}
+	sp.Add(service{"invitations", func(ctx context.Context) error { return link.Serve(ctx, li, lc, en.su.HandleInvite) }})
+}
+
 // newEntry returns an entry instance that has no listener yet.
 func newEntry(se Settings, sh *shared, di Dialect, lc link.Config, up *upstream.Client, ts *timer.Service, lg *zap.Logger) *entry {
 	now := ts.Now()
