registry: an announcement without a start doesn't overwrite one with

Found by reading: a control instance that hears few backend servers may take an announcement that names no start, and a union then took it for news of the start that another control instance had told, with its state. TestUnionStartsAgain/ "announcement without a start" failed before (the server was listed as Draining) and passes now.

--- a/registry/item.go
+++ b/registry/item.go
@@ -68,7 +68,7 @@
 	}
 	it, ok := un.items[se.ID]
 	switch {
-	case ok && se.Born != 0 && se.Born < it.server.Born:
+	case ok && se.Born < it.server.Born && (se.Born != 0 || se.State != Gone):
 		return // An earlier incarnation says so late, or a source hasn't heard of the later one.
 	case se.State == Gone:
 		un.bury(se.ID, se.Born)
--- a/registry/start_test.go
+++ b/registry/start_test.go
@@ -109,6 +109,7 @@
 		{"late Draining elsewhere", []step{announce("1", first, again), announce("2", drains)}, "a"},
 		{"late Gone elsewhere", []step{announce("1", first, again), announce("2", leaves)}, "a"},
 		{"late Gone of an id that is past", []step{announce("1", again), drop("1", "a"), wait(2 * hold), announce("2", leaves), announce("1", again)}, "a"},
+		{"announcement without a start", []step{announce("1", again), announce("2", draining("a", 9))}, "a"},
 		{"book with the earlier start", []step{announce("1", again), replace("2", first)}, "a"},
 		{"book that drops the earlier start", []step{announce("2", first), announce("1", again), drop("2", "a"), wait(2 * hold)}, "a"},
 		{"only the earlier start is held", []step{announce("2", first), announce("1", again), drop("1", "a"), wait(2 * hold)}, ""},
