--- a/feed/invite.go
+++ b/feed/invite.go
@@ -16,7 +16,7 @@
 const (
 	// inviteFirst is the time before an entry instance that wasn't reached is invited
 	// again. It doubles up to inviteMost: the machine may come back any moment, and an
-	// instance that it doesn't know of any control instance serves nobody.
+	// entry instance that knows no control instance serves nobody.
 	inviteFirst = 50 * time.Millisecond
 	inviteMost  = 800 * time.Millisecond
 	// inviteFor is for how long a control instance invites after its start. Entry
@@ -31,7 +31,7 @@
 )
 
 // Invite tells an entry instance that a control instance runs, and where. It is the
-// only message on its connection.
+// first message on its connection, and the answer is the same message.
 type Invite struct {
 	Name    string `cbor:"1,keyasint"` // Name of the control instance.
 	Address string `cbor:"2,keyasint"` // Address is where instances connect to it, as IP:port.
@@ -82,7 +82,7 @@
 	}
 }
 
-// inviteOnce reports whether the entry instance has heard: it ends the connection then.
+// inviteOnce reports whether the entry instance has heard, as its answer says.
 func inviteOnce(ctx context.Context, lc link.Config, iv Invite, address string) bool {
 	co, err := link.Dial(ctx, address, lc)
 	if err != nil {
--- a/registry/union.go
+++ b/registry/union.go
@@ -15,7 +15,9 @@
 // of all control instances, its sources. It is safe for concurrent use.
 //
 // An incarnation that a source calls Gone never returns, and one that a source calls
-// Draining stays so; a later one under the same id replaces it. Of two ids at one address the one first heard of later is
+// Draining stays so; a later one under the same id replaces it.
+//
+// Of two ids at one address the one first heard of later is
 // listed. The older one isn't, and it is Gone for good once it has been held by
 // no connected source for the time hold, or the newer one leaves while it isn't.
 //
