--- a/feed/message.go
+++ b/feed/message.go
@@ -10,7 +10,7 @@
 // the version that it holds. The package decides neither which configuration is newest
 // (the control instances agree on it elsewhere) nor which backend server is asked.
 //
-// What entry instances see of backend servers goes to one control instance, and
+// What entry instances see of backend servers goes to two control instances, and
 // what package outlier makes of it comes back to all (Seen, Found).
 package feed
 
--- a/feed/outliers.go
+++ b/feed/outliers.go
@@ -1,6 +1,9 @@
 package feed
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,7 +14,12 @@
 )
 
 // judgePeriod is the time between two looks at what entry instances saw.
-const judgePeriod = 100 * time.Millisecond
+const judgePeriod = 50 * time.Millisecond
+
+// collectors is how many control instances get what an entry instance saw. A second one
+// costs 25 bytes a sample; without it, nobody learns of anything while the only one hangs
+// and its links have not ended yet, which took 4 s.
+const collectors = 2
 
 // outliers is a detector with its lock. Samples come on all links at once.
 type outliers struct {
@@ -19,10 +27,10 @@
 	de *outlier.Detector
 }
 
-func (ou *outliers) add(now time.Time, sas []outlier.Sample) {
+func (ou *outliers) add(now time.Time, from string, sas []outlier.Sample) {
 	ou.mu.Lock()
 	defer ou.mu.Unlock()
-	ou.de.Add(now, sas)
+	ou.de.Add(now, from, sas)
 }
 
 func (ou *outliers) findings(now time.Time) []outlier.Finding {
@@ -46,34 +54,66 @@
 }
 
 // SendSeen sends what this entry instance saw of backend servers to the control
-// instance that the others send theirs to, too: of those with a link, the one with
-// the lowest address. While some entry instances have no link to it, theirs goes to
-// another one; each then judges by less, and nothing worse.
+// instances that the others send theirs to, too: of those that have told all they know
+// and whose link isn't silent, the two with the lowest addresses. While some entry
+// instances have no link to one, theirs goes to another one; each then judges by less,
+// and nothing worse.
 func (su *Subscriber) SendSeen(sas []outlier.Sample) {
 	if len(sas) == 0 {
 		return
 	}
 	su.mu.Lock()
 	defer su.mu.Unlock()
-	lowest := ""
-	var to *link.Conn
+	for _, co := range su.collectors() {
+		_ = co.Send(Seen{Samples: sas}) // The end of the link is seen where it is read.
+	}
+}
+
+// collectors returns the links of the control instances that judge. One that hangs
+// accepts links but tells nothing, so that a link alone doesn't count.
+func (su *Subscriber) collectors() []*link.Conn {
+	now := su.ts.Now()
+	var sos []*source
 	for so, co := range su.conns {
-		if to == nil || so.address < lowest {
-			lowest, to = so.address, co
+		if so.told.Load() && now.Sub(co.Heard()) < 2*su.cf.Link.Ping {
+			sos = append(sos, so)
 		}
 	}
-	if to != nil {
-		_ = to.Send(Seen{Samples: sas}) // The end of the link is seen where it is read.
+	slices.SortFunc(sos, func(a, b *source) int { return strings.Compare(a.address, b.address) })
+	cos := make([]*link.Conn, 0, collectors)
+	for _, so := range sos[:min(collectors, len(sos))] {
+		cos = append(cos, su.conns[so])
 	}
+	return cos
 }
 
+// heard is a finding that this instance was told.
+type heard struct {
+	fi outlier.Finding
+	at time.Time
+	so *source
+}
+
+// echo is for how long a finding that another control instance tells as well says
+// nothing new. The collectors see the same and find it within two judgePeriods.
+const echo = 500 * time.Millisecond
+
 // found takes in what all entry instances together saw of backend servers.
 func (su *Subscriber) found(so *source, fis []outlier.Finding) {
 	now := su.ts.Now()
+	var news []outlier.Finding
 	for _, fi := range fis {
+		if was, ok := su.heard[fi.ID]; ok && was.so != so && now.Sub(was.at) < echo && fi.Like(was.fi) {
+			continue
+		}
+		su.heard[fi.ID] = heard{fi: fi, at: now, so: so}
 		su.lo.info(now, "outlier-heard", append(findingFields(fi), zap.String("Control", so.name))...)
+		news = append(news, fi)
+	}
+	maps.DeleteFunc(su.heard, func(_ string, he heard) bool { return now.Sub(he.at) >= outlier.Lifetime })
+	if len(news) > 0 {
+		su.ob.OutliersFound(news)
 	}
-	su.ob.OutliersFound(fis)
 }
 
 func findingFields(fi outlier.Finding) []zap.Field {
--- a/feed/outliers_test.go
+++ b/feed/outliers_test.go
@@ -14,9 +14,13 @@
 // backend server took some times as long as usual.
 func (wo *world) see(ens []*entry, length time.Duration, id string, times float64) {
 	const period = 300 * time.Millisecond
+	sa := outlier.Sample{ID: id, Count: 1, Log: float32(math.Log(times)), Served: 1}
+	if times >= outlier.SlowFactor {
+		sa.Slow = 1
+	}
 	for ; length > 0; length -= period {
 		for _, en := range ens {
-			en.su.SendSeen([]outlier.Sample{{ID: id, Count: 1, Log: float32(math.Log(times)), Served: 1}})
+			en.su.SendSeen([]outlier.Sample{sa})
 		}
 		wo.after(period)
 	}
@@ -60,6 +64,39 @@
 	})
 }
 
+// The control instance that judges hangs: its links stand and it takes what is sent,
+// but it tells nothing. Were it the only one to judge, nobody would learn of the slow
+// backend server until its links end; a second one judges, too.
+func TestOutlierWhileJudgeHangs(t *testing.T) {
+	play(t, func(c *qt.C, wo *world) {
+		cos := wo.group("a-one", "b-two", "c-three")
+		ens := wo.entries(6, cos[1])
+		wo.see(ens, time.Second, "a1", 1)
+		for _, li := range wo.all("", cos[0].member.Address) {
+			li.cut.Store(true)
+		}
+		wo.see(ens, 900*time.Millisecond, "a1", 6)
+		for _, en := range ens {
+			c.Assert(en.findings(), qt.HasLen, 1)
+		}
+	})
+}
+
+// A control instance was stopped in its tracks and its links ended. New ones are taken
+// by its machine, though nobody reads them. What entry instances see must not go there.
+func TestSeenNotSentToWhoTellsNothing(t *testing.T) {
+	play(t, func(c *qt.C, wo *world) {
+		cos := wo.group("a-one", "b-two", "c-three")
+		cos[0].stall()
+		cos[1].stall()
+		ens := wo.entries(6, cos[2])
+		wo.see(ens, 1200*time.Millisecond, "a1", 6)
+		for _, en := range ens {
+			c.Assert(en.findings(), qt.HasLen, 1)
+		}
+	})
+}
+
 // Without any link, what was seen goes nowhere and holds up nobody.
 func TestSeenWithoutLink(t *testing.T) {
 	play(t, func(c *qt.C, wo *world) {
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -301,7 +301,7 @@
 		case Fetch:
 			pu.send(sb, me)
 		case Seen:
-			pu.outliers.add(pu.ts.Now(), me.Samples)
+			pu.outliers.add(pu.ts.Now(), sb.en.Name, me.Samples)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
--- a/feed/source.go
+++ b/feed/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,9 +35,10 @@
 	cancel  context.CancelFunc
 	hurry   chan struct{} // hurry ends the wait before the next dial.
 	name    string
-	near    bool // near says that it is of the own data centre.
-	up      bool // up says that the link stands and the picture has come.
-	failed  bool // failed says that the loss or absence of the link is logged.
+	near    bool        // near says that it is of the own data centre.
+	up      bool        // up says that the link stands and the picture has come.
+	told    atomic.Bool // told says so too, to all goroutines.
+	failed  bool        // failed says that the loss or absence of the link is logged.
 	lostAt  time.Time
 	members []Member
 	entries map[string]Entry
@@ -213,6 +215,7 @@
 	now := su.ts.Now()
 	if !so.up {
 		so.up = true
+		so.told.Store(true)
 		su.up.Add(1)
 	}
 	fields := []zap.Field{
@@ -263,6 +266,7 @@
 func (su *Subscriber) lost(so *source, err error) {
 	if so.up {
 		so.up = false
+		so.told.Store(false)
 		su.up.Add(-1)
 		su.dirty = true
 		su.un.Disconnect(su.ts.Now(), so.address)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -95,7 +95,8 @@
 	entries  []Entry // entries is what the observer was told last.
 	dirty    bool    // dirty says that the entry instances may have changed.
 	fetch    fetch
-	data     []byte // data is the configuration of version held, which the next one is told against.
+	heard    map[string]heard // heard holds the findings of the last outlier.Lifetime by id.
+	data     []byte           // data is the configuration of version held, which the next one is told against.
 	seededAt time.Time
 	alarm    *timer.Timeout
 	alarmAt  time.Time
@@ -164,6 +165,7 @@
 	su.events = make(chan event, eventBound)
 	su.sources = make(map[string]*source)
 	su.invited = make(map[string]time.Time)
+	su.heard = make(map[string]heard)
 	su.fetch = fetch{}
 	su.alarm, su.alarmAt = su.ts.Timeout(seedPeriod, su.nudge), time.Time{}
 	defer su.alarm.Stop()
--- a/link/link.go
+++ b/link/link.go
@@ -17,6 +17,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamwinch.example/peer"
@@ -69,6 +70,9 @@
 	nc net.Conn
 	rd *bufio.Reader
 
+	heard atomic.Int64 // heard is when a byte came last, in nanoseconds after made.
+	made  time.Time
+
 	mu      sync.Mutex
 	queue   net.Buffers
 	queued  int       // queued counts the bytes in queue and those being written.
@@ -82,7 +86,8 @@
 // New takes over an established connection. It must be ended with Close, or by
 // an error of Receive.
 func New(nc net.Conn, cf Config) *Conn {
-	co := &Conn{cf: cf, nc: nc, sent: cf.TS.Now(), done: make(chan struct{})}
+	now := cf.TS.Now()
+	co := &Conn{cf: cf, nc: nc, made: now, sent: now, done: make(chan struct{})}
 	co.rd = bufio.NewReaderSize(silentReader{co}, bufferBytes)
 	co.mu.Lock()
 	defer co.mu.Unlock()
@@ -112,6 +117,9 @@
 // Remote returns the other end's address.
 func (co *Conn) Remote() string { return co.nc.RemoteAddr().String() }
 
+// Heard returns when a byte came last, or when the connection was made if none has.
+func (co *Conn) Heard() time.Time { return co.made.Add(time.Duration(co.heard.Load())) }
+
 // Done is closed when the connection has ended.
 func (co *Conn) Done() <-chan struct{} { return co.done }
 
@@ -292,7 +300,11 @@
 	if err := co.nc.SetReadDeadline(co.cf.TS.Now().Add(co.cf.Silence)); err != nil {
 		return 0, err
 	}
-	return co.nc.Read(buf)
+	count, err := co.nc.Read(buf)
+	if count > 0 {
+		co.heard.Store(int64(co.cf.TS.Now().Sub(co.made)))
+	}
+	return count, err
 }
 
 // Close ends the connection; what is queued may be lost.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -324,6 +324,26 @@
 	}
 }
 
+// The other end hangs, and its connection stands until the silence ends it. Who sends
+// what others wait for looks when a byte came last, and takes another way meanwhile.
+func TestHeard(t *testing.T) {
+	bubble(t, func(c *qt.C) {
+		aw, bw := pair()
+		a, b := link.New(aw, config()), link.New(bw, config())
+		defer a.Close()
+		defer b.Close()
+		_, _ = receive(a), receive(b)
+		c.Assert(a.Heard(), qt.Equals, time.Now())
+		time.Sleep(2*time.Second + ping/2)
+		c.Assert(time.Since(a.Heard()) <= ping, qt.IsTrue)
+		bw.swallow.Store(true)
+		cut := time.Now()
+		time.Sleep(2 * ping)
+		c.Assert(a.Heard().After(cut), qt.IsFalse)
+		c.Assert(b.Heard().After(cut), qt.IsTrue)
+	})
+}
+
 // A large configuration comes over a slow link: it takes seconds, but bytes keep
 // coming. That must not look like silence, or the link would be opened again and
 // again and never get the configuration across.
--- a/outlier/bench_test.go
+++ b/outlier/bench_test.go
@@ -28,7 +28,7 @@
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				de.Add(now, sas)
+				de.Add(now, "e1", sas)
 			}
 			b.ReportMetric(float64(len(body)), "bytes")
 		})
@@ -41,7 +41,7 @@
 		b.Run(fmt.Sprintf("servers=%d", count), func(b *testing.B) {
 			de, sas, now := New(), samples(count), time.Unix(1000, 0)
 			for b.Loop() {
-				de.Add(now, sas)
+				de.Add(now, "e1", sas)
 				now = now.Add(100 * time.Millisecond)
 				de.Findings(now)
 			}
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -11,13 +12,15 @@
 	// span is the least time over which samples are judged. Backend servers stand
 	// still for up to a quarter of a second now and then, and are quick again: a
 	// server is slow only if two spans in a row say so, which no such pause fills.
-	span = 400 * time.Millisecond
+	span = 800 * time.Millisecond
+	// failingSpan is the same for failures, which no pause brings about.
+	failingSpan = 150 * time.Millisecond
 	// leastSamples is how many samples a span needs; it is prolonged until it has
 	// them. One request in a hundred is slow at a sound server.
 	leastSamples = 3
 	// leastSlow and leastFailing are the levels from which a server is slow (1.6
 	// times the usual latency) or failing.
-	leastSlow    = 0.47
+	leastSlow    = 0.69
 	leastFailing = 0.15
 	// mostSlow bounds the slowness of one sample.
 	mostSlow = 3.0
@@ -28,6 +31,9 @@
 	again = Lifetime / 2
 	// forget is after how long without samples a server is forgotten.
 	forget = 10 * time.Second
+	// mostTellers bounds the entry instances that are told apart in a span. Where more
+	// tell of one server, none of them weighs much.
+	mostTellers = 16
 	// mostServers bounds the servers that are remembered.
 	mostServers = 16384
 )
@@ -41,6 +47,7 @@
 // server is what is known of one backend server.
 type server struct {
 	slow, failing signal
+	spell         spell
 	told          Finding
 	toldAt        time.Time
 	seen          time.Time
@@ -48,18 +55,26 @@
 
 // signal is one property of a server, judged span by span.
 type signal struct {
-	begun  time.Time
-	sum    float64
-	count  uint32
-	before float64 // before is the mean of the span before.
-	level  float64 // level is the lower mean of the last two spans, or 0.
+	begun   time.Time
+	sum     float64
+	count   uint32
+	tellers []teller
+	before  float64 // before is the mean of the span before.
+	level   float64 // level is the lower mean of the last two spans, or 0.
+}
+
+// teller is what one entry instance told in a span.
+type teller struct {
+	name  string
+	sum   float64
+	count uint32
 }
 
 // New returns a detector that has seen nothing.
 func New() *Detector { return &Detector{servers: make(map[string]*server)} }
 
-// Add takes in the samples of one entry instance.
-func (de *Detector) Add(now time.Time, sas []Sample) {
+// Add takes in the samples of the entry instance of a name.
+func (de *Detector) Add(now time.Time, from string, sas []Sample) {
 	for _, sa := range sas {
 		se := de.servers[sa.ID]
 		if se == nil {
@@ -72,13 +87,15 @@
 		se.seen = now
 		if sa.Count > 0 && !math.IsNaN(float64(sa.Log)) {
 			most := mostSlow * float64(sa.Count)
-			se.slow.add(now, max(-most, min(most, float64(sa.Log))), sa.Count)
+			sa.Log = float32(max(-most, min(most, float64(sa.Log))))
+			se.slow.add(now, from, float64(sa.Log), sa.Count)
+			se.spell.add(now, from, sa)
 		}
-		se.failing.add(now, float64(sa.Failed), sa.Served+sa.Failed)
+		se.failing.add(now, from, float64(sa.Failed), sa.Served+sa.Failed)
 	}
 }
 
-func (si *signal) add(now time.Time, sum float64, count uint32) {
+func (si *signal) add(now time.Time, from string, sum float64, count uint32) {
 	if count == 0 {
 		return
 	}
@@ -87,19 +104,40 @@
 	}
 	si.sum += sum
 	si.count += count
+	for ix := range si.tellers {
+		if te := &si.tellers[ix]; te.name == from {
+			te.sum += sum
+			te.count += count
+			return
+		}
+	}
+	if len(si.tellers) < mostTellers {
+		si.tellers = append(si.tellers, teller{from, sum, count})
+	}
 }
 
 // judge ends the span if it is long enough and has enough samples.
-func (si *signal) judge(now time.Time, least float64) {
+func (si *signal) judge(now time.Time, span time.Duration, least float64) {
 	if si.count < leastSamples || now.Sub(si.begun) < span {
 		return
 	}
-	mean := si.sum / float64(si.count)
+	mean := si.mean()
 	si.level = min(mean, si.before)
 	if si.level < least {
 		si.level = 0
 	}
-	si.before, si.sum, si.count = mean, 0, 0
+	si.before, si.sum, si.count, si.tellers = mean, 0, 0, si.tellers[:0]
+}
+
+// mean returns the mean of the span, or that without the entry instance that says the
+// worst, if it is lower: one with a bad link, or that lies, sets nobody aside.
+func (si *signal) mean() float64 {
+	mean := si.sum / float64(si.count)
+	worst := slices.MaxFunc(si.tellers, func(a, b teller) int { return cmp.Compare(a.sum, b.sum) })
+	if worst.count == si.count {
+		return min(mean, 0)
+	}
+	return min(mean, (si.sum-worst.sum)/float64(si.count-worst.count))
 }
 
 // Findings returns what is to be told now, by id: levels that have changed, and
@@ -107,9 +145,8 @@
 func (de *Detector) Findings(now time.Time) []Finding {
 	var out []Finding
 	for id, se := range de.servers {
-		se.slow.judge(now, leastSlow)
-		se.failing.judge(now, leastFailing)
-		fi := Finding{ID: id, Slowness: float32(se.slow.level), Failures: float32(se.failing.level)}
+		se.judge(now)
+		fi := Finding{ID: id, Slowness: float32(max(se.slow.level, se.spell.level)), Failures: float32(se.failing.level)}
 		idle := now.Sub(se.seen) >= forget
 		if idle {
 			fi = Finding{ID: id}
@@ -126,6 +163,18 @@
 	return out
 }
 
+// judge brings the levels up to date.
+func (se *server) judge(now time.Time) {
+	se.slow.judge(now, span, leastSlow)
+	se.failing.judge(now, failingSpan, leastFailing)
+	if se.failing.level > 0 {
+		se.failing.level = se.failing.before // The span before may have begun when all was well.
+	}
+	if se.spell.judge(now, leastSlow) {
+		se.slow = signal{} // What it holds was seen before the server was quick again.
+	}
+}
+
 // news reports whether a finding says something else than the one told before.
 func (fi Finding) news(told Finding) bool {
 	return differ(fi.Slowness, told.Slowness, movedSlow) || differ(fi.Failures, told.Failures, movedFailing)
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -24,8 +24,8 @@
 // run gives samples for a time: each step of 100 ms those of three entry instances.
 func (fe *feeder) run(length time.Duration, sa Sample) {
 	for end := fe.now.Add(length); fe.now.Before(end); fe.now = fe.now.Add(100 * ms) {
-		for range 3 {
-			fe.de.Add(fe.now, []Sample{sa})
+		for ix := range 3 {
+			fe.de.Add(fe.now, fmt.Sprint("e", ix), []Sample{sa})
 		}
 		fe.out = append(fe.out, fe.de.Findings(fe.now)...)
 	}
@@ -42,7 +42,7 @@
 func usual() Sample { return Sample{ID: "a", Count: 1, Served: 1} }
 
 func slow(times float64) Sample {
-	return Sample{ID: "a", Count: 1, Log: float32(math.Log(times)), Served: 1}
+	return Sample{ID: "a", Count: 1, Log: float32(math.Log(times)), Served: 1, Slow: 1}
 }
 
 // A backend server turns nine times slower while each entry instance sends it a
@@ -119,7 +119,69 @@
 	c := qt.New(t)
 	de := New()
 	for ix := range mostServers + 10 {
-		de.Add(time.Unix(1000, 0), []Sample{{ID: fmt.Sprint(ix), Count: 1, Log: float32(math.NaN())}})
+		de.Add(time.Unix(1000, 0), "e1", []Sample{{ID: fmt.Sprint(ix), Count: 1, Log: float32(math.NaN())}})
 	}
 	c.Assert(de.servers, qt.HasLen, mostServers)
 }
+
+// A backend server turns slow, and only one entry instance says so: its link is bad, or
+// it lies. All others find the server quick. It stays as it is for all.
+func TestOneLiarIsNotBelieved(t *testing.T) {
+	c := qt.New(t)
+	fe := newFeeder()
+	for range 40 {
+		fe.de.Add(fe.now, "liar", []Sample{slow(20), slow(20), slow(20)})
+		fe.run(100*ms, usual())
+	}
+	c.Assert(fe.out, qt.HasLen, 0)
+	for range 40 { // Not even where nobody else asks the server.
+		fe.de.Add(fe.now, "liar", []Sample{slow(20)})
+		fe.now = fe.now.Add(10 * ms)
+		fe.out = append(fe.out, fe.de.Findings(fe.now)...)
+	}
+	c.Assert(fe.out, qt.HasLen, 0)
+}
+
+// A sample tells when the requests in it were sent. Two entry instances report late, and
+// at once, what spans more than a pause: the server is slow. The same number of slow
+// requests that were sent close together met a pause.
+func TestTimeOfSendingTellsPauseFromSlowness(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		oldest, newest uint32
+		found          bool
+	}{
+		{"within a pause", 300, 20, false},
+		{"longer than any pause", 500, 20, true},
+		{"long ago and once", 500, 490, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			fe := newFeeder()
+			sa := Sample{ID: "a", Count: 4, Log: 4 * float32(math.Log(5)), Slow: 4, OldestSlow: tc.oldest, NewestSlow: tc.newest}
+			fe.de.Add(fe.now, "e1", []Sample{sa})
+			fe.de.Add(fe.now, "e2", []Sample{sa})
+			fe.out = fe.de.Findings(fe.now)
+			c.Assert(len(fe.out) > 0, qt.Equals, tc.found)
+		})
+	}
+}
+
+// A server was found slow. A probe that was sent before that and comes back quick only
+// now says nothing; two that were sent since end the finding at once.
+func TestQuickAnswersEndAFinding(t *testing.T) {
+	c := qt.New(t)
+	fe := newFeeder()
+	fe.run(time.Second, slow(9))
+	c.Assert(fe.last().Slowness > 0, qt.IsTrue)
+	for range 3 {
+		fe.de.Add(fe.now, "e1", []Sample{{ID: "a", Count: 1, NewestQuick: 5000}})
+		fe.out = append(fe.out, fe.de.Findings(fe.now)...)
+	}
+	c.Assert(fe.last().Slowness > 0, qt.IsTrue)
+	for range 2 {
+		fe.de.Add(fe.now, "e1", []Sample{{ID: "a", Count: 1}})
+	}
+	fe.out = append(fe.out, fe.de.Findings(fe.now)...)
+	c.Assert(fe.last().Clear(), qt.IsTrue)
+}
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -1,8 +1,8 @@
 // Package outlier finds backend servers that are slow or failing from what many
 // entry instances saw of them. One entry instance sends a backend server a few
 // requests a second or less, so alone it learns late; all of them together have
-// seen enough within a second. Entry instances send their samples to one control
-// instance, whose Detector tells all of them what it found.
+// seen enough within half a second. Entry instances send their samples to control
+// instances, whose Detectors tell all of them what they found.
 //
 // What is found is a hint for choosing backend servers, and nothing else: it is
 // lost with the control instance, runs out by itself, and no request is refused
@@ -19,8 +19,20 @@
 	Log    float32 `cbor:"3,keyasint,omitempty"` // Log sums the natural logarithms of latency against the median of its work.
 	Served uint32  `cbor:"4,keyasint,omitempty"` // Served counts the requests that were answered.
 	Failed uint32  `cbor:"5,keyasint,omitempty"` // Failed counts those that were refused, failed or found no connection.
+
+	// Slow counts the latencies of SlowFactor times the median or more. OldestSlow and
+	// NewestSlow are how long ago the first and the last of these requests were sent, and
+	// NewestQuick the last of the others, in milliseconds before the sample is sent.
+	Slow        uint32 `cbor:"6,keyasint,omitempty"`
+	OldestSlow  uint32 `cbor:"7,keyasint,omitempty"`
+	NewestSlow  uint32 `cbor:"8,keyasint,omitempty"`
+	NewestQuick uint32 `cbor:"9,keyasint,omitempty"`
 }
 
+// SlowFactor is how many times the median a single latency must be to count as slow. Of
+// lognormal latencies with a spread of 0.35, one in forty is.
+const SlowFactor = 2.0
+
 // Finding is what is known of a backend server that is slow or failing, or was.
 type Finding struct {
 	ID       string  `cbor:"1,keyasint"`
@@ -31,5 +43,8 @@
 // Clear reports whether the backend server is neither slow nor failing any more.
 func (fi Finding) Clear() bool { return fi.Slowness == 0 && fi.Failures == 0 }
 
+// Like reports whether a finding says much the same as another one of its server.
+func (fi Finding) Like(other Finding) bool { return !fi.news(other) }
+
 // Lifetime is how long a finding holds from when it was last told.
 const Lifetime = 5 * time.Second
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -24,7 +24,7 @@
 	slowFactor = 2.0
 	// probeShare is the share of requests that probe a slow server, and
 	// returnShare the one after it has answered quickly.
-	probeShare  = 0.02
+	probeShare  = 0.04
 	returnShare = 0.2
 )
 
--- a/replica/news_test.go
+++ b/replica/news_test.go
@@ -60,13 +60,13 @@
 	}
 	var told []string
 	for range 3 {
-		for _, sa := range be.tb.News(2) {
+		for _, sa := range be.tb.News(be.now, 2) {
 			c.Assert(sa, qt.Equals, outlier.Sample{ID: sa.ID, Failed: 1})
 			told = append(told, sa.ID)
 		}
 	}
 	c.Assert(told, qt.DeepEquals, []string{"0", "1", "2", "3", "4"})
-	c.Assert(be.tb.News(2), qt.HasLen, 0)
+	c.Assert(be.tb.News(be.now, 2), qt.HasLen, 0)
 }
 
 // A refusal for want of a connection of its own tells the others nothing.
@@ -74,7 +74,7 @@
 	c := qt.New(t)
 	be := newBench(c, ready("a"))
 	be.tb.Done(be.now, be.only("a"), Report{Kind: Shed, Own: true})
-	c.Assert(be.tb.News(10), qt.HasLen, 0)
+	c.Assert(be.tb.News(be.now, 10), qt.HasLen, 0)
 }
 
 // Latencies are told against the median of their work; that of a request that was
@@ -83,7 +83,7 @@
 	c := qt.New(t)
 	be := newBench(c, ready("a"))
 	be.settle("a")
-	be.tb.News(10)
+	be.tb.News(be.now, 10)
 	for _, ca := range []struct {
 		took time.Duration
 		kind ReportKind
@@ -93,9 +93,68 @@
 		be.pass(ca.took)
 		be.tb.Done(be.now, pk, Report{Kind: ca.kind})
 		count := uint32(0)
-		for _, sa := range be.tb.News(10) {
+		for _, sa := range be.tb.News(be.now, 10) {
 			count += sa.Count
 		}
 		c.Assert(count, qt.Equals, ca.want, qt.Commentf("%v", ca))
 	}
 }
+
+// A request is sent to a server that doesn't answer, and no hedge can be afforded. The
+// others learn that it is slow while it still waits, and not a second time when it ends.
+// Both the oldest and the newest request are told: how far apart they were sent tells a
+// slow server from one that stood still for a moment.
+func TestNewsOfWaitingRequests(t *testing.T) {
+	c := qt.New(t)
+	be := newBench(c, ready("a"))
+	be.settle("a")
+	be.tb.News(be.now, 10)
+	first := be.only("a")
+	be.pass(300 * ms)
+	second := be.only("a")
+	be.pass(40 * ms)
+	third := be.only("a")
+	be.pass(5 * ms)
+	sas := be.tb.News(be.now, 10)
+	c.Assert(sas, qt.HasLen, 1)
+	c.Assert(sas[0].Slow, qt.Equals, uint32(2))
+	c.Assert(sas[0].OldestSlow, qt.Equals, uint32(345))
+	c.Assert(sas[0].NewestSlow, qt.Equals, uint32(45))
+	be.tb.Done(be.now, first, Report{Kind: Silent})
+	be.tb.Done(be.now, second, Report{Kind: Served})
+	be.tb.Done(be.now, third, Report{Kind: Served})
+	sas = be.tb.News(be.now, 10)
+	c.Assert(sas, qt.HasLen, 1)
+	c.Assert([]uint32{sas[0].Count, sas[0].Slow}, qt.DeepEquals, []uint32{1, 0})
+}
+
+// News of a fault press, and others don't: those of sound servers can wait for more.
+func TestFaultsPress(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		took    time.Duration
+		re      Report
+		presses bool
+	}{
+		{"quick", 10 * ms, Report{Kind: Served}, false},
+		{"slow", 60 * ms, Report{Kind: Served}, true},
+		{"given up and slow", 60 * ms, Report{Kind: Silent}, true},
+		{"refused", ms, Report{Kind: Shed}, true},
+		{"a lack of its own", ms, Report{Kind: Shed, Own: true}, false},
+		{"the caller left", 60 * ms, Report{Kind: Canceled}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			be := newBench(c, ready("a"))
+			be.settle("a")
+			be.tb.News(be.now, 10)
+			for len(be.tb.Pressing()) > 0 {
+				<-be.tb.Pressing()
+			}
+			pk := be.only("a")
+			be.pass(tc.took)
+			be.tb.Done(be.now, pk, tc.re)
+			c.Assert(len(be.tb.Pressing()) == 1, qt.Equals, tc.presses)
+		})
+	}
+}
--- a/replica/server.go
+++ b/replica/server.go
@@ -75,7 +75,11 @@
 	waiting, slots, pace int           // These are as reported.
 	loaded               time.Duration // loaded is when they were.
 
-	news  outlier.Sample  // news is what is to be told of it; see news.go.
+	news outlier.Sample // news is what is to be told of it; see news.go.
+	// slowFirst, slowLast and quickSent are when the slow and quick requests of the news
+	// were sent.
+	slowFirst, slowLast, quickSent time.Duration
+
 	found outlier.Finding // found is what all entry instances together saw of it.
 	until time.Duration   // until is when that runs out.
 }
@@ -88,6 +92,7 @@
 	typical time.Duration // typical is how long it was expected to take.
 	overdue bool          // overdue says that it passed its hedge time.
 	blamed  bool          // blamed says so too, while the server has not answered since.
+	told    bool          // told says that the others know already how slow it is.
 }
 
 func newServer(at time.Duration, re registry.Server) *server {
--- a/replica/table.go
+++ b/replica/table.go
@@ -58,6 +58,8 @@
 	candidates []candidate          // candidates is room for those of one choice.
 	home       map[string]bool      // home are the ids preferred like those in the own data centre.
 	newsFrom   string               // newsFrom is the id after which the next news begin.
+	press      chan struct{}        // press is what Pressing returns.
+	pressing   bool                 // pressing says that it was sent to since the last news.
 }
 
 // incarnation names one start of a backend server.
@@ -81,6 +83,7 @@
 		servers:  make(map[string]*server),
 		works:    make(map[string]*work),
 		moved:    make(map[incarnation]bool),
+		press:    make(chan struct{}, 1),
 	}
 }
 
@@ -202,6 +205,7 @@
 			pk.se.note(re.Kind)
 		}
 		tb.learn(at, pk.se, &fl, re.Kind)
+		tb.urge(pk.se)
 	}
 }
 
@@ -229,7 +233,7 @@
 	if fl.work.known() {
 		fl.work.refresh()
 		se.learn(latency, fl.work.typical(), false)
-		se.noteLatency(latency, fl.work.typical(), false)
+		se.noteLatency(fl, latency, fl.work.typical(), false)
 	}
 	fl.work.add(at, latency)
 	se.serve(at)
@@ -246,7 +250,7 @@
 	se.renew(at)
 	if fl.work.known() {
 		se.learn(latency, fl.work.typical(), true)
-		se.noteLatency(latency, fl.work.typical(), true)
+		se.noteLatency(fl, latency, fl.work.typical(), true)
 	}
 	if !fl.overdue && latency < delay {
 		return
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -154,13 +154,16 @@
 
 const (
 	// newsPeriod is how often an entry instance tells what it saw of backend servers,
-	// and mostNews of how many at most. A sample takes some 25 bytes, so both together
-	// bound what this costs to 4 KB a second.
+	// and mostNews of how many at most. A sample takes some 25 bytes.
 	newsPeriod = 300 * time.Millisecond
 	mostNews   = 48
+	// newsDelay is how long news of slow and failing servers wait for others like them.
+	// A query that meets such a server most often meets several.
+	newsDelay = 30 * time.Millisecond
 )
 
-// tellNews tells what this instance saw of backend servers until the context ends.
+// tellNews tells what this instance saw of backend servers until the context ends: all
+// of it now and then, and soon if any of them is slow or fails.
 func (en *entry) tellNews(ctx context.Context) error {
 	su := en.ts.Subscribe(newsPeriod)
 	defer su.Stop()
@@ -168,9 +171,13 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-en.re.Pressing():
+			if err := en.ts.Sleep(ctx, newsDelay); err != nil {
+				return err
+			}
 		case <-su.C:
-			en.su.SendSeen(en.re.News(mostNews))
 		}
+		en.su.SendSeen(en.re.News(en.ts.Now(), mostNews))
 	}
 }
 
