--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -62,7 +62,7 @@
 	mx := http.NewServeMux()
 	mx.HandleFunc("GET /addresses", func(wr http.ResponseWriter, rq *http.Request) {
 		qu := rq.URL.Query()
-		list, ttl := ad.Addresses(qu.Get("DataCentre"), qu.Get("Region"))
+		list, ttl := ad.Addresses(qu.Get("Host"), qu.Get("DataCentre"), qu.Get("Region"))
 		tier.WriteJSON(wr, http.StatusOK, addressList{Addresses: list, TTLMillis: ttl.Milliseconds()})
 	})
 	return mx
--- a/feed/message.go
+++ b/feed/message.go
@@ -31,6 +31,7 @@
 	kindSeen
 	kindFound
 	kindInvite
+	kindCarrying
 )
 
 // EntryState says what an entry instance does with callers.
@@ -134,6 +135,7 @@
 	Servers []registry.Server `cbor:"5,keyasint,omitempty"` // Servers that announced themselves here.
 
 	DataCentre string `cbor:"6,keyasint,omitempty"` // DataCentre is that of the control instance.
+	Sharers    int    `cbor:"7,keyasint,omitempty"` // Sharers is as in Update.
 }
 
 // Kind returns the kind of the message.
@@ -146,11 +148,23 @@
 	Entries []Entry           `cbor:"3,keyasint,omitempty"` // Entries are those that are new or in another state.
 	Left    []string          `cbor:"4,keyasint,omitempty"` // Left names the entry instances whose link has ended.
 	Changes []registry.Change `cbor:"5,keyasint,omitempty"`
+	// Sharers is how many entry instances callers are led to who share backend servers; 0
+	// if unchanged, or unknown.
+	Sharers int `cbor:"6,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
 func (Update) Kind() peer.Kind { return kindUpdate }
 
+// Carrying tells a control instance how much the entry instance carries, as a part of
+// what it should.
+type Carrying struct {
+	Load float32 `cbor:"1,keyasint"`
+}
+
+// Kind returns the kind of the message.
+func (Carrying) Kind() peer.Kind { return kindCarrying }
+
 // Seen tells a control instance what the entry instance saw of backend servers.
 type Seen struct {
 	Samples []outlier.Sample `cbor:"1,keyasint"`
@@ -169,5 +183,5 @@
 
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}, Seen{}, Found{}, Invite{}}
+	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}, Seen{}, Found{}, Invite{}, Carrying{}}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -59,8 +59,10 @@
 	members     []Member
 	version     uint64
 	subscribers map[*subscriber]struct{}
-	joined      uint64           // joined counts the subscribers so far.
-	live        map[string]Entry // live holds what the newest link of each entry instance said.
+	joined      uint64             // joined counts the subscribers so far.
+	live        map[string]Entry   // live holds what the newest link of each entry instance said.
+	loads       map[string]float64 // loads holds what entry instances say that they carry, by name.
+	sharers     int
 	pending     pending
 	armed       bool      // armed says that a flush is due.
 	flushed     time.Time // flushed is the time of the last update.
@@ -82,6 +84,7 @@
 type pending struct {
 	members bool
 	version bool
+	sharers bool
 	entries map[string]struct{}
 	servers []registry.Change // servers holds one change for each id, in the order of the first.
 	places  map[string]int    // places are the places in servers by id.
@@ -97,6 +100,7 @@
 		outliers:    outliers{de: outlier.New()},
 		subscribers: make(map[*subscriber]struct{}),
 		live:        make(map[string]Entry),
+		loads:       make(map[string]float64),
 		pending:     newPending(),
 	}
 	pu.ready.Store(&[]Entry{})
@@ -300,6 +304,8 @@
 			pu.stand(sb, me.State)
 		case Fetch:
 			pu.send(sb, me)
+		case Carrying:
+			pu.carry(sb, float64(me.Load))
 		case Seen:
 			pu.outliers.add(pu.ts.Now(), sb.en.Name, me.Samples)
 		default:
@@ -334,7 +340,7 @@
 		members = sortedMembers(pu.cf.Members())
 	}
 	return Picture{
-		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version,
+		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.entries(func(Entry) bool { return true }), Servers: pu.book.Records(now),
 	}
 }
@@ -378,6 +384,7 @@
 		return
 	case newest == nil:
 		delete(pu.live, name)
+		delete(pu.loads, name)
 	default:
 		pu.live[name] = newest.en
 	}
@@ -458,6 +465,9 @@
 	if pu.pending.version {
 		up.Version = pu.version
 	}
+	if pu.pending.sharers {
+		up.Sharers = pu.sharers
+	}
 	for _, name := range slices.Sorted(maps.Keys(pu.pending.entries)) {
 		if en, ok := pu.live[name]; ok {
 			up.Entries = append(up.Entries, en)
--- a/feed/source.go
+++ b/feed/source.go
@@ -42,6 +42,7 @@
 	lostAt  time.Time
 	members []Member
 	entries map[string]Entry
+	sharers int    // sharers is how many entry instances it says share backend servers.
 	version uint64 // version is the newest configuration that it announced.
 	order   uint64 // order is lower the earlier it announced that version.
 	// unwanted is since when neither seeds nor members name it; zero if they do.
@@ -166,6 +167,9 @@
 	err := co.Send(Subscribe{
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.held, Listener: su.cf.Own != "",
 	})
+	if err == nil && su.carrying != nil {
+		err = co.Send(*su.carrying)
+	}
 	if err == nil {
 		su.conns[so] = co
 	}
@@ -227,7 +231,7 @@
 	}
 	su.lg.Info("control-link-up", fields...)
 	so.failed = false
-	so.name, so.members = pi.Name, pi.Members
+	so.name, so.members, so.sharers = pi.Name, pi.Members, pi.Sharers
 	so.near = pi.DataCentre != "" && pi.DataCentre == su.cf.Self.DataCentre
 	so.entries = make(map[string]Entry, len(pi.Entries))
 	for _, en := range pi.Entries {
@@ -254,6 +258,10 @@
 		delete(so.entries, name)
 		su.dirty = true
 	}
+	if up.Sharers > 0 {
+		so.sharers = up.Sharers
+		su.dirty = true
+	}
 	su.announced(so, up.Version)
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -48,6 +48,9 @@
 	// EntriesChanged gives the entry instances that are Ready or Draining, by name,
 	// as the control instances together see them.
 	EntriesChanged(live []Entry)
+	// SharersChanged gives how many entry instances callers are led to who share backend
+	// servers.
+	SharersChanged(count int)
 	// OutliersFound gives what all entry instances together saw of backend servers.
 	OutliersFound(fis []outlier.Finding)
 }
@@ -73,11 +76,12 @@
 	up   atomic.Int64
 	kick chan struct{}
 
-	mu    sync.Mutex
-	state EntryState
-	held  uint64 // held is the version of the configuration in force.
-	conns map[*source]*link.Conn
-	gone  map[string]struct{}
+	mu       sync.Mutex
+	state    EntryState
+	carrying *Carrying // carrying is what was told of the load last; nil if nothing was.
+	held     uint64    // held is the version of the configuration in force.
+	conns    map[*source]*link.Conn
+	gone     map[string]struct{}
 	// invites holds the addresses of control instances that invited this one, with the
 	// time, until Serve takes them.
 	invites map[string]time.Time
@@ -93,6 +97,7 @@
 	told     uint64                       // told is the version of the union then.
 	toldAt   time.Time
 	entries  []Entry // entries is what the observer was told last.
+	sharers  int     // sharers is likewise.
 	dirty    bool    // dirty says that the entry instances may have changed.
 	fetch    fetch
 	heard    map[string]heard // heard holds the findings of the last outlier.Lifetime by id.
@@ -249,6 +254,10 @@
 		su.entries = live
 		su.ob.EntriesChanged(live)
 	}
+	if count := su.mostSharers(); count > 0 && count != su.sharers {
+		su.sharers = count
+		su.ob.SharersChanged(count)
+	}
 }
 
 // tellServers tells the observer of the backend servers if they changed.
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -33,6 +33,8 @@
 
 func (*eye) EntriesChanged([]Entry) {}
 
+func (*eye) SharersChanged(int) {}
+
 func (*eye) OutliersFound([]outlier.Finding) {}
 
 // await takes what an observer is told until it is what is wanted.
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -323,6 +323,7 @@
 	live     []Entry
 	lives    [][]Entry
 	found    []outlier.Finding
+	sharers  []int
 }
 
 // entry makes an entry instance and starts it.
@@ -420,6 +421,12 @@
 	en.lives = append(en.lives, live)
 }
 
+func (en *entry) SharersChanged(count int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.sharers = append(en.sharers, count)
+}
+
 func (en *entry) OutliersFound(fis []outlier.Finding) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	closing atomic.Bool
 	seen    atomic.Pointer[picture]
 	active  atomic.Int64
+	merging atomic.Int64 // merging sums the time that merged requests were under way, in nanoseconds.
 	mt      meters
 	newsAt  atomic.Int64 // newsAt is when the backend servers last changed, since started.
 
@@ -82,6 +83,7 @@
 	servers  map[string][]registry.Server
 	limits   map[string]int // limits are how many connections a backend server takes, by service.
 	entries  entryCount
+	sharers  entryCount           // sharers are those of them that share backend servers; none if not known.
 	named    map[string]bool      // named are the services of the table in force.
 	expected map[string]time.Time // expected is until when a service may still get its first ready backend server.
 }
@@ -139,12 +141,26 @@
 	sv.share()
 }
 
+// SetSharers takes over how many of the entry instances callers are led to.
+func (sv *Server) SetSharers(count int) {
+	sv.mu.Lock()
+	if sv.sharers = sv.sharers.with(sv.ts.Now(), count); count < sv.sharers.top {
+		sv.ts.Timeout(entryMemory, sv.share)
+	}
+	sv.mu.Unlock()
+	sv.share()
+}
+
 // Refuse makes the gateway answer every further request at once with "not run".
 func (sv *Server) Refuse() { sv.refuse.Store(true) }
 
 // CloseAfterAnswer makes the gateway ask callers to leave after their answer.
 func (sv *Server) CloseAfterAnswer() { sv.closing.Store(true) }
 
+// Merging returns for how long merged requests have been under way so far, those at one
+// time counting each.
+func (sv *Server) Merging() time.Duration { return time.Duration(sv.merging.Load()) }
+
 // Active returns how many requests are under way.
 func (sv *Server) Active() int { return int(sv.active.Load()) }
 
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -63,7 +63,7 @@
 	tb := sv.tb.Load()
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	entries := max(1, sv.entries.highest(sv.ts.Now()))
+	entries := sv.sharing(sv.ts.Now())
 	part := sv.connectionPart()
 	shares := make(map[string]int)
 	sc := &scarcity{home: make(map[string]bool), away: make(map[string]bool)}
@@ -90,6 +90,15 @@
 	sv.qu.wakeAll()
 }
 
+// sharing returns among how many entry instances connections are divided.
+func (sv *Server) sharing(now time.Time) int {
+	entries := sv.entries.highest(now)
+	if sharers := sv.sharers.highest(now); sharers > 0 {
+		entries = min(entries, sharers)
+	}
+	return max(1, entries)
+}
+
 // limit returns how many connections a backend server of a service takes, 0 if
 // that is not known. A service that a new version no longer names keeps its
 // limit: requests that began under the version before still go there.
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"balsamwinch.example/registry"
+	"balsamwinch.example/route"
 )
 
 // Nine entry instances run in calm for a minute, then three are cut off from
@@ -43,3 +47,27 @@
 		c.Assert(outlived(ctx, now.Add(mostLifetime)), qt.IsTrue)
 	}
 }
+
+// Callers are led to 49 of 191 entry instances, and backend servers take 123 connections.
+// Divided among all, each instance would have a single one to each server and a second
+// request would wait or go elsewhere; divided among those with callers, it has two. While
+// their number isn't known, or was higher lately, fewer connections are opened.
+func TestSharers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rg := newRig(t, newPipes(), setup{entries: 191})
+		rg.limited(limits, 123, route.Route{Prefix: "/", Timeout: time.Second, Targets: to("s")})
+		rg.gw.SetServers(map[string][]registry.Server{"s": {{ID: "i", Service: "s", Address: "a"}}})
+		share := func() int { return rg.gw.target(registry.Server{ID: "i", Service: "s"}).Connections }
+		c.Assert(share(), qt.Equals, 1)
+		rg.gw.SetSharers(49)
+		c.Assert(share(), qt.Equals, 2)
+		rg.gw.SetSharers(95)
+		c.Assert(share(), qt.Equals, 1)
+		rg.gw.SetSharers(49)
+		c.Assert(share(), qt.Equals, 1)
+		time.Sleep(entryMemory)
+		synctest.Wait()
+		c.Assert(share(), qt.Equals, 2)
+	})
+}
--- /dev/null
+++ b/roster/groups.go
@@ -0,0 +1,83 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Group is the callers of the same backend servers.
+type Group struct {
+	Key   string // Key names the group; it stays while its backend servers do.
+	Limit int    // Limit is how many connections each of these servers takes; 0 if any number.
+}
+
+// Groups is what was decided for several groups in all data centres. It is immutable; the
+// zero Groups has decided nothing.
+type Groups struct {
+	sizes   map[place]Size
+	chosen  map[place][]Instance
+	ready   map[string]int // ready counts the instances by data centre.
+	sharers int
+}
+
+// place is a group in a data centre.
+type place struct{ key, dataCentre string }
+
+// With returns what is decided after a look at the instances that are ready.
+func (gs Groups) With(now time.Time, groups []Group, ins []Instance) Groups {
+	by := make(map[string][]Instance)
+	for _, in := range ins {
+		by[in.DataCentre] = append(by[in.DataCentre], in)
+	}
+	out := Groups{
+		sizes: make(map[place]Size), chosen: make(map[place][]Instance), ready: make(map[string]int), sharers: len(ins),
+	}
+	for centre, here := range by {
+		out.ready[centre] = len(here)
+	}
+	for _, gr := range groups {
+		bo := NewBounds(gr.Limit, len(by))
+		count := 0
+		for _, centre := range slices.Sorted(maps.Keys(by)) {
+			pl := place{gr.Key, centre}
+			si := gs.sizes[pl].With(now, bo, carried(gs.chosen[pl], by[centre]))
+			out.sizes[pl] = si
+			out.chosen[pl] = Choose(gr.Key, by[centre], si.Members())
+			count += len(out.chosen[pl])
+		}
+		out.sharers = min(out.sharers, count)
+	}
+	return out
+}
+
+// Sharers returns how many entry instances share the backend servers of the group with
+// the fewest.
+func (gs Groups) Sharers() int { return gs.sharers }
+
+// Addresses returns the addresses that a caller of a group in a data centre is led to. It
+// reports false if all instances may serve it, also those of other data centres.
+func (gs Groups) Addresses(key, dataCentre string) ([]string, bool) {
+	chosen := gs.chosen[place{key, dataCentre}]
+	if len(chosen) == 0 || len(chosen) == gs.ready[dataCentre] {
+		return nil, false
+	}
+	out := make([]string, len(chosen))
+	for ix, in := range chosen {
+		out[ix] = in.Address
+	}
+	return out, true
+}
+
+// carried returns the sum of the present loads of the instances that were chosen.
+func carried(chosen, now []Instance) float64 {
+	load := make(map[string]float64, len(now))
+	for _, in := range now {
+		load[in.Name] = in.Load
+	}
+	sum := 0.0
+	for _, in := range chosen {
+		sum += load[in.Name]
+	}
+	return sum
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,116 @@
+// Package roster decides to which entry instances callers are led. Where many entry
+// instances share backend servers that take few connections, each of them would hold at
+// most one to each server, open it anew for one request in four, and see so few requests
+// that it learns nothing. So callers of the same shards are led to a part of the entry
+// instances: as few as their load allows, and no more than there are connections for.
+//
+// Every control instance decides by itself. From the same instances all choose the same
+// ones, as rendezvous hashing makes them, so that nothing has to be agreed; how many they
+// choose may differ by a few for a while and does no harm. An instance that isn't chosen
+// serves whoever comes all the same. The package asks nobody and reads no clock.
+package roster
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// connectionShare is the part of a backend server's connections that the chosen
+	// instances may hold together. The rest is for those that are not chosen, and for
+	// connections of which the server hasn't seen the end yet.
+	connectionShare = 0.8
+	// enoughConnections is how many connections to each backend server an instance should
+	// have room for. With one, a second request to the same server waits or goes to a
+	// slower one; two hold what 20 merged requests a second need.
+	enoughConnections = 2
+	// leastMembers is how many instances are chosen in a data centre at least: one may be
+	// lost, and callers who exclude it need another.
+	leastMembers = 3
+	// shrinkPause is the time between two steps down, of one instance each. Callers keep a
+	// list for some seconds, so that load follows a step late, while growth is at once.
+	shrinkPause = time.Second
+)
+
+// Instance is an entry instance that is ready for callers.
+type Instance struct {
+	Name       string
+	DataCentre string
+	Address    string
+	// Load is what the instance carries as a part of what it should, 1 for just that.
+	Load float64
+}
+
+// Bounds are how many instances may be chosen in one data centre.
+type Bounds struct{ Least, Most int }
+
+// NewBounds returns the bounds of a data centre for backend servers that take so many
+// connections, where dataCentres have entry instances. A limit of 0 is none.
+func NewBounds(limit, dataCentres int) Bounds {
+	if limit <= 0 || dataCentres <= 0 {
+		return Bounds{Least: math.MaxInt32, Most: math.MaxInt32}
+	}
+	held := connectionShare * float64(limit) / float64(dataCentres)
+	return Bounds{
+		Least: max(leastMembers, int(held/enoughConnections)),
+		Most:  max(leastMembers, int(held)),
+	}
+}
+
+// Size is how many instances of a data centre are chosen. The zero Size is that of one
+// that hasn't looked yet. It is immutable.
+type Size struct {
+	members int
+	shrunk  time.Time
+}
+
+// Members returns how many instances are chosen.
+func (si Size) Members() int { return si.members }
+
+// With returns the size after a look at what the chosen instances carry together, as the
+// sum of their Loads. The first look chooses as many as there may be: how much they will
+// carry isn't known.
+func (si Size) With(now time.Time, bo Bounds, load float64) Size {
+	want := min(max(int(math.Ceil(load)), bo.Least), bo.Most)
+	switch {
+	case si.members == 0:
+		return Size{members: bo.Most, shrunk: now}
+	case want >= si.members:
+		return Size{members: want, shrunk: now}
+	case si.members > bo.Most:
+		return Size{members: bo.Most, shrunk: now}
+	case now.Sub(si.shrunk) < shrinkPause:
+		return si
+	default:
+		return Size{members: si.members - 1, shrunk: now}
+	}
+}
+
+// Choose returns so many of the instances for a key, or all if there are no more. The
+// same instances give the same choice in whatever order they come; one instance more or
+// less changes it by one.
+func Choose(key string, ins []Instance, members int) []Instance {
+	if len(ins) <= members {
+		return ins
+	}
+	type ranked struct {
+		in  Instance
+		sum uint64
+	}
+	ras := make([]ranked, len(ins))
+	for ix, in := range ins {
+		ras[ix] = ranked{in, xxhash.Sum64String(key + "\x00" + in.Name)}
+	}
+	slices.SortFunc(ras, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.sum, a.sum), cmp.Compare(a.in.Name, b.in.Name))
+	})
+	out := make([]Instance, members)
+	for ix := range out {
+		out[ix] = ras[ix].in
+	}
+	return out
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,184 @@
+package roster
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet returns so many instances in each data centre, named after it.
+func fleet(centres map[string]int, load float64) []Instance {
+	var out []Instance
+	for centre, count := range centres {
+		for ix := range count {
+			name := fmt.Sprintf("%s-%d", centre, ix)
+			out = append(out, Instance{Name: name, DataCentre: centre, Address: name + ":80", Load: load})
+		}
+	}
+	return out
+}
+
+func TestBounds(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		limit, centres int
+		want           Bounds
+	}{
+		{"fewer connections than instances", 123, 5, Bounds{9, 19}},
+		{"few connections", 62, 4, Bounds{6, 12}},
+		{"hardly any", 12, 3, Bounds{3, 3}},
+		{"many", 1200, 5, Bounds{96, 192}},
+		{"no limit", 0, 5, Bounds{math.MaxInt32, math.MaxInt32}},
+		{"no instances", 123, 0, Bounds{math.MaxInt32, math.MaxInt32}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, NewBounds(tc.limit, tc.centres), qt.Equals, tc.want)
+		})
+	}
+}
+
+// What comes in a day: nothing is known at first, then little is carried, a burst comes,
+// and goes. Growth is at once, for callers come at once; steps down are slow, for they
+// come late.
+func TestSize(t *testing.T) {
+	c := qt.New(t)
+	bo := Bounds{Least: 9, Most: 19}
+	now := start
+	var si Size
+	look := func(after time.Duration, load float64) int {
+		now = now.Add(after)
+		si = si.With(now, bo, load)
+		return si.Members()
+	}
+	c.Assert(look(0, 0), qt.Equals, 19)
+	c.Assert(look(shrinkPause/2, 0), qt.Equals, 19)
+	c.Assert(look(shrinkPause/2, 0), qt.Equals, 18)
+	for range 20 {
+		look(shrinkPause, 2)
+	}
+	c.Assert(si.Members(), qt.Equals, 9)
+	c.Assert(look(time.Millisecond, 12.2), qt.Equals, 13)
+	c.Assert(look(time.Millisecond, 100), qt.Equals, 19)
+	c.Assert(look(time.Millisecond, 3), qt.Equals, 19)
+	bo = Bounds{Least: 3, Most: 6} // A new version says that servers take fewer connections.
+	c.Assert(look(time.Millisecond, 100), qt.Equals, 6)
+}
+
+// One instance leaves: its callers alone are led elsewhere. One comes: it takes the place
+// of one at most. Were the choice made anew, all callers would connect anew, and their
+// instances to all backend servers.
+func TestChoiceIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "instances")
+		members := rapid.IntRange(1, 20).Draw(t, "members")
+		ins := fleet(map[string]int{"a": count}, 0)
+		was := names(Choose("key", ins, members))
+		rand.Shuffle(len(ins), func(ix, iy int) { ins[ix], ins[iy] = ins[iy], ins[ix] })
+		if now := names(Choose("key", ins, members)); !slices.Equal(now, was) {
+			t.Fatalf("%v, in another order %v", was, now)
+		}
+		if len(was) != min(count, members) {
+			t.Fatalf("%d of %d chosen, want %d", len(was), count, members)
+		}
+		gone := ins[rapid.IntRange(0, count-1).Draw(t, "gone")].Name
+		left := slices.DeleteFunc(slices.Clone(ins), func(in Instance) bool { return in.Name == gone })
+		now := names(Choose("key", left, members))
+		for _, name := range was {
+			if name != gone && !slices.Contains(now, name) {
+				t.Fatalf("%s left, and %s is chosen no more", gone, name)
+			}
+		}
+	})
+}
+
+func names(ins []Instance) []string {
+	var out []string
+	for _, in := range ins {
+		out = append(out, in.Name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Groups spread: each instance of a data centre is chosen by about as many groups as any
+// other.
+func TestGroupsSpread(t *testing.T) {
+	c := qt.New(t)
+	ins := fleet(map[string]int{"a": 40}, 0)
+	times := make(map[string]int)
+	for ix := range 400 {
+		for _, in := range Choose(fmt.Sprint(ix), ins, 10) {
+			times[in.Name]++
+		}
+	}
+	for name, count := range times {
+		c.Check(count > 60 && count < 140, qt.IsTrue, qt.Commentf("%s %d", name, count))
+	}
+}
+
+// Hundreds of instances share servers of 123 connections. Callers of the merged group are
+// led to those of their data centre that were chosen, all others to all; as the chosen
+// ones carry more, more are. A data centre without any has its callers led to all.
+func TestGroups(t *testing.T) {
+	c := qt.New(t)
+	centres := map[string]int{"a": 37, "b": 41, "c": 2}
+	groups := []Group{{Key: "wide", Limit: 123}, {Key: "plain", Limit: 1200}}
+	now := start
+	var gs Groups
+	look := func(load float64) {
+		now = now.Add(shrinkPause)
+		gs = gs.With(now, groups, fleet(centres, load))
+	}
+	count := func(key, centre string) int {
+		ads, ok := gs.Addresses(key, centre)
+		c.Check(ok, qt.Equals, len(ads) > 0)
+		return len(ads)
+	}
+	look(1)
+	c.Assert(count("wide", "a"), qt.Equals, 32)
+	for range 30 {
+		look(0.1)
+	}
+	c.Assert([]int{count("wide", "a"), count("wide", "b"), count("wide", "c"), count("wide", "d")}, qt.DeepEquals, []int{16, 16, 0, 0})
+	c.Assert(count("plain", "a"), qt.Equals, 0)
+	c.Assert(count("unknown", "a"), qt.Equals, 0)
+	c.Assert(gs.Sharers(), qt.Equals, 16+16+2)
+	look(1.2)
+	c.Assert(count("wide", "a"), qt.Equals, 20)
+	look(1.2)
+	c.Assert(count("wide", "a"), qt.Equals, 24)
+}
+
+// Few instances and connections enough for all: nobody is left out.
+func TestSmallFleetIsWhole(t *testing.T) {
+	c := qt.New(t)
+	var gs Groups
+	for ix := range 30 {
+		gs = gs.With(start.Add(time.Duration(ix)*shrinkPause), []Group{{Key: "wide", Limit: 41}}, fleet(map[string]int{"a": 3, "b": 3, "c": 3}, 0))
+	}
+	_, ok := gs.Addresses("wide", "a")
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(gs.Sharers(), qt.Equals, 9)
+}
+
+// BenchmarkWith is the cost of a look of a control instance at 890 entry instances in 12
+// data centres.
+func BenchmarkWith(b *testing.B) {
+	centres := make(map[string]int)
+	for ix := range 12 {
+		centres[fmt.Sprint(ix)] = 74
+	}
+	ins := fleet(centres, 0.5)
+	var gs Groups
+	for ix := 0; b.Loop(); ix++ {
+		gs = gs.With(start.Add(time.Duration(ix)*time.Second), []Group{{Key: "wide", Limit: 400}}, ins)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -16,6 +16,7 @@
 	limits   Limits
 	hosts    map[string][]node
 	places   map[place]struct{}
+	merged   []*Route
 }
 
 // place is what no two routes may have in common.
@@ -71,6 +72,9 @@
 		return ro.fault("Prefix", "want one route for host %q and prefix %q, got two", ro.Host, ro.Prefix)
 	}
 	tb.places[pl] = struct{}{}
+	if len(ro.Shards) > 0 {
+		tb.merged = append(tb.merged, ro)
+	}
 	tb.hosts[ho] = append(tb.hosts[ho], node{route: ro})
 	return nil
 }
@@ -115,6 +119,23 @@
 	return nos[ix].route, true
 }
 
+// Of returns the routes of a host, whose port, final dot and case don't count. They must
+// not be changed.
+func (tb *Table) Of(host string) []*Route {
+	nos := tb.hosts[hostKey(host)]
+	out := make([]*Route, len(nos))
+	for ix, no := range nos {
+		out[ix] = no.route
+	}
+	return out
+}
+
+// Merged returns the routes that have shards, in the order of the configuration. They
+// must not be changed.
+func (tb *Table) Merged() []*Route {
+	return tb.merged
+}
+
 // Version returns the version of the configuration.
 func (tb *Table) Version() uint64 {
 	return tb.version
--- a/tier/control.go
+++ b/tier/control.go
@@ -36,6 +36,7 @@
 	nd *fleet.Node
 	pu *feed.Publisher
 	lu *lookUps
+	ro *rosters
 	lg *zap.Logger
 	ts *timer.Service
 }
@@ -43,6 +44,7 @@
 func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	co := &control{sh: sh, lu: newLookUps(ts, lg), lg: lg, ts: ts}
 	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, DataCentre: se.DataCentre, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
+	co.ro = newRosters(di.Tables(), co.pu, ts, lg)
 	me := memory{dir: se.DataFolder, pu: co.pu, ot: &others{}, ts: ts, lg: lg}
 	me.restore(se.Timing.Announcement)
 	co.nd = fleet.New(fleet.Config{
@@ -65,6 +67,7 @@
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
+	sp.Add(service{"roster", co.ro.serve})
 	addMemory(sp, me, se, sh, lc)
 	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.Entries) }})
 	serveUntil(ctx, sp, co.leave)
@@ -114,7 +117,10 @@
 }
 
 // DocumentCommitted tells the entry instances of a configuration.
-func (co *control) DocumentCommitted(version uint64, data []byte) { co.pu.SetDocument(version, data) }
+func (co *control) DocumentCommitted(version uint64, data []byte) {
+	co.pu.SetDocument(version, data)
+	co.ro.setDocument(version, data)
+}
 
 // MembersChanged tells the entry instances which control instances there are.
 func (co *control) MembersChanged(ms []fleet.Member) {
@@ -160,9 +166,14 @@
 // BodyLimit bounds a body of these calls in bytes.
 func (co *control) BodyLimit() int64 { return apiBodyBytes }
 
-// Addresses returns the entry instances to use, those of the data centre first.
-func (co *control) Addresses(dataCentre, _ string) ([]string, time.Duration) {
+// Addresses returns the entry instances to use: those that callers of the host are led to
+// in their data centre, or all, those of the data centre first.
+func (co *control) Addresses(host, dataCentre, _ string) ([]string, time.Duration) {
 	ready := co.pu.Entries()
 	co.lu.note(ready)
-	return addresses(ready, dataCentre), co.sh.se.Load().Timing.addressTTL()
+	list := co.ro.addresses(host, dataCentre, ready)
+	if len(list) == 0 {
+		list = addresses(ready, dataCentre)
+	}
+	return list, co.sh.se.Load().Timing.addressTTL()
 }
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -79,7 +79,7 @@
 type AddressCalls interface {
 	// Addresses returns the entry instances to use, those in the data centre
 	// first, and for how long the answer may be kept.
-	Addresses(dataCentre, region string) ([]string, time.Duration)
+	Addresses(host, dataCentre, region string) ([]string, time.Duration)
 }
 
 // WriteJSON answers a call with a body in JSON.
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -66,6 +66,7 @@
 	en.addInvitations(sp, se.LinkAddress(), lc)
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"news", en.tellNews})
+	sp.Add(service{"carrying", en.tellCarrying})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
@@ -149,6 +150,9 @@
 // EntriesChanged takes over which entry instances share the backend servers.
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
 
+// SharersChanged takes over how many of the entry instances callers are led to.
+func (en *entry) SharersChanged(count int) { en.gw.SetSharers(count) }
+
 // OutliersFound takes over what all entry instances together saw of backend servers.
 func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
 
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -181,8 +181,8 @@
 func (cu *counted) BodyLimit() int64 { return cu.co.BodyLimit() }
 
 // Addresses counts and passes the call on.
-func (cu *counted) Addresses(dataCentre, region string) ([]string, time.Duration) {
-	ads, keep := cu.co.Addresses(dataCentre, region)
+func (cu *counted) Addresses(host, dataCentre, region string) ([]string, time.Duration) {
+	ads, keep := cu.co.Addresses(host, dataCentre, region)
 	cu.lookUps.Inc()
 	if len(ads) == 0 {
 		cu.emptyLookUps.Inc()
--- a/tier/meters_test.go
+++ b/tier/meters_test.go
@@ -108,7 +108,7 @@
 func (fakeCalls) Leave(string)             {}
 func (fakeCalls) Ignore(string, string)    {}
 func (fakeCalls) BodyLimit() int64         { return 9 }
-func (fc fakeCalls) Addresses(string, string) ([]string, time.Duration) {
+func (fc fakeCalls) Addresses(string, string, string) ([]string, time.Duration) {
 	return fc.addrs, time.Second
 }
 
@@ -124,12 +124,12 @@
 		cu.Announce(registry.Server{})
 		cu.Leave("i-1")
 		cu.Ignore("i-1", "no state")
-		addrs, keep := cu.Addresses("", "")
+		addrs, keep := cu.Addresses("", "", "")
 		qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.1:80"})
 		qt.Assert(t, keep, qt.Equals, time.Second)
 		cu.co = fakeCalls{err: errors.New("no leader")}
 		qt.Assert(t, cu.Accept(t.Context(), 8, nil), qt.ErrorMatches, "no leader")
-		cu.Addresses("", "")
+		cu.Addresses("", "", "")
 		qt.Assert(t, shown(cu.set.WritePrometheus, "balsamwinch_control_call_seconds_"), qt.DeepEquals, []string{
 			`balsamwinch_control_call_seconds_bucket{call="Accept",le="0.03"} 2`,
 			`balsamwinch_control_call_seconds_bucket{call="Accept",le="0.1"} 2`,
--- a/tier/others.go
+++ b/tier/others.go
@@ -46,5 +46,8 @@
 // entry instance has a link to this one, too.
 func (*others) EntriesChanged([]feed.Entry) {}
 
+// SharersChanged ignores what entry instances are told.
+func (*others) SharersChanged(int) {}
+
 // OutliersFound ignores what entry instances are told.
 func (*others) OutliersFound([]outlier.Finding) {}
--- /dev/null
+++ b/tier/roster.go
@@ -0,0 +1,166 @@
+package tier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwinch.example/feed"
+	"balsamwinch.example/roster"
+	"balsamwinch.example/route"
+	"balsamwinch.example/timer"
+)
+
+// rosterPeriod is how often a control instance looks to which entry instances callers are
+// led. A burst is answered within it, and the time that callers keep their list.
+const rosterPeriod = 250 * time.Millisecond
+
+// rosters leads callers to a part of the entry instances where backend servers take few
+// connections. Until it knows a configuration it leads them to all.
+type rosters struct {
+	tbs Tables
+	pu  *feed.Publisher
+	ts  *timer.Service
+	lg  *zap.Logger
+	// entries gives the entry instances that are ready.
+	entries func() []feed.Entry
+
+	mu      sync.Mutex
+	version uint64
+	data    []byte // data is a configuration that is to be read; nil if none is.
+
+	decided atomic.Pointer[decision]
+}
+
+// decision is what was decided last. It is never changed.
+type decision struct {
+	tb *route.Table
+	gs roster.Groups
+}
+
+func newRosters(tbs Tables, pu *feed.Publisher, ts *timer.Service, lg *zap.Logger) *rosters {
+	ro := &rosters{tbs: tbs, pu: pu, ts: ts, lg: lg, entries: pu.Entries}
+	ro.decided.Store(&decision{})
+	return ro
+}
+
+// setDocument takes over a configuration. It is read at the next look, since its
+// commit waits for this.
+func (ro *rosters) setDocument(version uint64, data []byte) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ro.version, ro.data = version, data
+}
+
+// serve looks again and again until the context ends.
+func (ro *rosters) serve(ctx context.Context) error {
+	su := ro.ts.Subscribe(rosterPeriod)
+	defer su.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-su.C:
+			ro.look(ro.ts.Now())
+		}
+	}
+}
+
+func (ro *rosters) look(now time.Time) {
+	de := *ro.decided.Load()
+	if tb := ro.read(); tb != nil {
+		de.tb = tb
+	}
+	if de.tb == nil {
+		return
+	}
+	was := de.gs.Sharers()
+	de.gs = de.gs.With(now, groupsOf(de.tb), ro.instances())
+	ro.decided.Store(&de)
+	if sharers := de.gs.Sharers(); sharers != was {
+		ro.lg.Info("entry-instances-chosen", zap.Int("Sharers", sharers), zap.Int("Before", was), zap.Int("Ready", len(ro.entries())))
+		ro.pu.SetSharers(sharers)
+	}
+}
+
+// read returns the table of a configuration that came since the last look, or nil.
+func (ro *rosters) read() *route.Table {
+	ro.mu.Lock()
+	version, data := ro.version, ro.data
+	ro.data = nil
+	ro.mu.Unlock()
+	if data == nil {
+		return nil
+	}
+	tb, err := ro.tbs.Table(data)
+	if err != nil {
+		ro.lg.Error("configuration-not-read", zap.Uint64("Version", version), zap.Error(err))
+		return nil
+	}
+	return tb
+}
+
+func (ro *rosters) instances() []roster.Instance {
+	ens := ro.entries()
+	out := make([]roster.Instance, len(ens))
+	for ix, en := range ens {
+		out[ix] = roster.Instance{Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, Load: ro.pu.Load(en.Name)}
+	}
+	return out
+}
+
+// addresses returns the addresses that a caller of a host is led to, none if these are
+// all. An instance that isn't ready any more is left out at once, and not only after the
+// next look: callers would go on coming to one that is about to end.
+func (ro *rosters) addresses(host, dataCentre string, ready []feed.Entry) []string {
+	de := ro.decided.Load()
+	if de.tb == nil {
+		return nil
+	}
+	gr, ok := groupOf(de.tb, host)
+	if !ok {
+		return nil
+	}
+	list, _ := de.gs.Addresses(gr.Key, dataCentre)
+	return slices.DeleteFunc(list, func(address string) bool {
+		return !slices.ContainsFunc(ready, func(en feed.Entry) bool { return en.Address == address })
+	})
+}
+
+// groupsOf returns the groups of all merged routes.
+func groupsOf(tb *route.Table) []roster.Group {
+	seen := make(map[string]bool)
+	var out []roster.Group
+	for _, ro := range tb.Merged() {
+		if gr, ok := group(tb, ro); ok && !seen[gr.Key] {
+			seen[gr.Key] = true
+			out = append(out, gr)
+		}
+	}
+	return out
+}
+
+// groupOf returns the group of a host, and false if its callers may go to all. Callers
+// of one host can't be told apart, so one merged route decides for the others.
+func groupOf(tb *route.Table, host string) (roster.Group, bool) {
+	for _, ro := range tb.Of(host) {
+		if gr, ok := group(tb, ro); ok {
+			return gr, true
+		}
+	}
+	return roster.Group{}, false
+}
+
+// group returns the group of a route. Only merged requests are led to a part of the
+// instances: each takes a connection to a server of every shard.
+func group(tb *route.Table, ro *route.Route) (roster.Group, bool) {
+	if len(ro.Shards) == 0 {
+		return roster.Group{}, false
+	}
+	se, ok := tb.Service(ro.Shards[0])
+	return roster.Group{Key: se.Name, Limit: se.MaxConnections}, ok
+}
