--- a/budget/budget.go
+++ b/budget/budget.go
@@ -84,14 +84,12 @@
 }
 
 // Spend takes one extra arrival and reports whether the budget had it. It is
-// refused if the window that ends now would pass its bound, or if less than the
-// part keep of the bound, from 0 to 1, would be left.
-func (bu *Budget) Spend(now time.Time, service string, keep float64) bool {
+// refused if the window that ends now would pass its bound.
+func (bu *Budget) Spend(now time.Time, service string) bool {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	se := bu.service(now, service)
-	bound := bu.bound(se)
-	if float64(se.extras+1) > bound-keep*bound {
+	if float64(se.extras+1) > bu.bound(se) {
 		return false
 	}
 	se.spend()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -19,9 +19,9 @@
 func plain() Config { return Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 1} }
 
 // spendAll spends what the budget has and returns how much that was.
-func spendAll(bu *Budget, now time.Time, keep float64) int {
+func spendAll(bu *Budget, now time.Time) int {
 	count := 0
-	for bu.Spend(now, "s", keep) {
+	for bu.Spend(now, "s") {
 		count++
 	}
 	return count
@@ -39,26 +39,23 @@
 		cf                Config
 		entries, requests int
 		arrived, at       float64 // These are in seconds since the start.
-		keep              float64
 		want              int
 	}{
-		{"nothing asked, entries unknown", plain(), 0, 0, 20, 20, 0, 0},
-		{"ratio alone while entries are unknown", plain(), 0, 100, 20, 20, 0, 20},
-		{"slack of one entry", plain(), 1, 0, 20, 20, 0, 50},
-		{"slack of five entries", plain(), 5, 0, 20, 20, 0, 10},
-		{"less than one extra", plain(), 60, 0, 20, 20, 0, 0},
-		{"ratio and slack", plain(), 5, 100, 20, 20, 0, 30},
-		{"share of both", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 0.5}, 5, 100, 20, 20, 0, 15},
-		{"no share is all", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, 5, 100, 20, 20, 0, 30},
-		{"no window is 10 s", Config{Ratio: 0.2, Share: 1}, 1, 100, 20, 29.5, 0, 20},
-		{"half is kept", plain(), 5, 100, 20, 20, 0.5, 15},
-		{"all is kept", plain(), 5, 100, 20, 20, 1, 0},
-		{"requests inside the window", plain(), 0, 100, 20, 29.7, 0, 20},
-		{"requests out of the window", plain(), 0, 100, 20, 30.3, 0, 0},
-		{"no slack at the start", plain(), 1, 0, 0, 0, 0, 0},
-		{"slack after half a window", plain(), 1, 0, 0, 5, 0, 25},
-		{"slack after a window", plain(), 1, 0, 0, 10, 0, 50},
-		{"ratio counts from the start", plain(), 1, 50, 0, 0, 0, 10},
+		{"nothing asked, entries unknown", plain(), 0, 0, 20, 20, 0},
+		{"ratio alone while entries are unknown", plain(), 0, 100, 20, 20, 20},
+		{"slack of one entry", plain(), 1, 0, 20, 20, 50},
+		{"slack of five entries", plain(), 5, 0, 20, 20, 10},
+		{"less than one extra", plain(), 60, 0, 20, 20, 0},
+		{"ratio and slack", plain(), 5, 100, 20, 20, 30},
+		{"share of both", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 0.5}, 5, 100, 20, 20, 15},
+		{"no share is all", Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, 5, 100, 20, 20, 30},
+		{"no window is 10 s", Config{Ratio: 0.2, Share: 1}, 1, 100, 20, 29.5, 20},
+		{"requests inside the window", plain(), 0, 100, 20, 29.7, 20},
+		{"requests out of the window", plain(), 0, 100, 20, 30.3, 0},
+		{"no slack at the start", plain(), 1, 0, 0, 0, 0},
+		{"slack after half a window", plain(), 1, 0, 0, 5, 25},
+		{"slack after a window", plain(), 1, 0, 0, 10, 50},
+		{"ratio counts from the start", plain(), 1, 50, 0, 0, 10},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -67,7 +64,7 @@
 				bu.SetEntries(start, tt.entries)
 			}
 			arrive(bu, after(tt.arrived), tt.requests)
-			qt.Assert(t, spendAll(bu, after(tt.at), tt.keep), qt.Equals, tt.want)
+			qt.Assert(t, spendAll(bu, after(tt.at)), qt.Equals, tt.want)
 		})
 	}
 }
@@ -79,11 +76,11 @@
 	bu.SetEntries(start, 5)
 	c.Assert(bu.Left(after(20), "s"), qt.Equals, 1.0)
 	for range 5 {
-		c.Assert(bu.Spend(after(20), "s", 0), qt.IsTrue)
+		c.Assert(bu.Spend(after(20), "s"), qt.IsTrue)
 	}
 	c.Assert(bu.Left(after(20), "s"), qt.Equals, 0.5)
 	c.Assert(bu.Left(after(20), "other"), qt.Equals, 1.0)
-	spendAll(bu, after(20), 0)
+	spendAll(bu, after(20))
 	c.Assert(bu.Left(after(20), "s"), qt.Equals, 0.0)
 	c.Assert(bu.Left(after(31), "s"), qt.Equals, 1.0)
 }
@@ -93,11 +90,11 @@
 	c := qt.New(t)
 	bu := New(plain(), start)
 	bu.SetEntries(start, 1)
-	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 50)
+	c.Assert(spendAll(bu, after(20)), qt.Equals, 50)
 	for _, at := range []float64{20.1, 25, 29.9, 30} {
-		c.Assert(spendAll(bu, after(at), 0), qt.Equals, 0, qt.Commentf("at %v s", at))
+		c.Assert(spendAll(bu, after(at)), qt.Equals, 0, qt.Commentf("at %v s", at))
 	}
-	c.Assert(spendAll(bu, after(30.5), 0), qt.Equals, 50)
+	c.Assert(spendAll(bu, after(30.5)), qt.Equals, 50)
 }
 
 // An instance is out of sight of control for some seconds and goes on serving
@@ -108,36 +105,36 @@
 	bu := New(plain(), start)
 	bu.SetEntries(after(0), 10)
 	bu.SetEntries(after(20), 5)
-	c.Assert(bu.Spend(after(39), "a", 0), qt.IsTrue)
-	c.Assert(spendAll(bu, after(39.9), 0), qt.Equals, 5)
-	c.Assert(spendAll(bu, after(55), 0), qt.Equals, 10)
+	c.Assert(bu.Spend(after(39), "a"), qt.IsTrue)
+	c.Assert(spendAll(bu, after(39.9)), qt.Equals, 5)
+	c.Assert(spendAll(bu, after(55)), qt.Equals, 10)
 	bu.SetEntries(after(70), 50)
-	c.Assert(spendAll(bu, after(70), 0), qt.Equals, 1)
+	c.Assert(spendAll(bu, after(70)), qt.Equals, 1)
 }
 
 func TestEntriesAfterSilence(t *testing.T) {
 	c := qt.New(t)
 	bu := New(plain(), start)
 	bu.SetEntries(after(0), 10)
-	c.Assert(spendAll(bu, after(1000), 0), qt.Equals, 5)
+	c.Assert(spendAll(bu, after(1000)), qt.Equals, 5)
 	bu.SetEntries(after(1000), 0)
-	c.Assert(spendAll(bu, after(1015), 0), qt.Equals, 5)
+	c.Assert(spendAll(bu, after(1015)), qt.Equals, 5)
 }
 
 func TestReturn(t *testing.T) {
 	c := qt.New(t)
 	bu := New(plain(), start)
 	bu.SetEntries(start, 50)
-	c.Assert(bu.Spend(after(20), "s", 0), qt.IsTrue)
-	c.Assert(bu.Spend(after(21), "s", 0), qt.IsFalse)
+	c.Assert(bu.Spend(after(20), "s"), qt.IsTrue)
+	c.Assert(bu.Spend(after(21), "s"), qt.IsFalse)
 	bu.Return(after(21), after(20), "s")
-	c.Assert(bu.Spend(after(21), "s", 0), qt.IsTrue)
+	c.Assert(bu.Spend(after(21), "s"), qt.IsTrue)
 	bu.Return(after(21), after(20), "s")
-	c.Assert(bu.Spend(after(21), "s", 0), qt.IsFalse)
+	c.Assert(bu.Spend(after(21), "s"), qt.IsFalse)
 	bu.Return(after(40), after(21), "s")
 	bu.Return(after(40), after(50), "s")
 	bu.Return(after(40), start.Add(-time.Hour), "s")
-	c.Assert(spendAll(bu, after(40), 0), qt.Equals, 1)
+	c.Assert(spendAll(bu, after(40)), qt.Equals, 1)
 }
 
 // Callers read the clock before they take the lock, so a call may come with an
@@ -146,11 +143,11 @@
 	c := qt.New(t)
 	bu := New(plain(), start)
 	bu.SetEntries(start, 1)
-	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 50)
-	c.Assert(spendAll(bu, after(19), 0), qt.Equals, 0)
-	c.Assert(spendAll(bu, after(9), 0), qt.Equals, 0)
+	c.Assert(spendAll(bu, after(20)), qt.Equals, 50)
+	c.Assert(spendAll(bu, after(19)), qt.Equals, 0)
+	c.Assert(spendAll(bu, after(9)), qt.Equals, 0)
 	arrive(bu, after(9), 10)
-	c.Assert(spendAll(bu, after(20), 0), qt.Equals, 2)
+	c.Assert(spendAll(bu, after(20)), qt.Equals, 2)
 }
 
 func TestUnusedServicesAreForgotten(t *testing.T) {
@@ -174,7 +171,7 @@
 	got := testing.AllocsPerRun(1000, func() {
 		now = now.Add(7 * time.Millisecond)
 		bu.Arrival(now, "s")
-		bu.Spend(now, "s", 0.1)
+		bu.Spend(now, "s")
 		bu.Left(now, "s")
 		bu.SetEntries(now, 4)
 	})
@@ -203,7 +200,7 @@
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, 5).Draw(rt, "extras") {
-				if !bu.Spend(now, "s", 0) {
+				if !bu.Spend(now, "s") {
 					break
 				}
 				extras = append(extras, now)
@@ -252,7 +249,7 @@
 				bu.Arrival(now, "s")
 				requests = append(requests, now)
 			}
-			for bu.Spend(now, "s", 0) {
+			for bu.Spend(now, "s") {
 				extras = append(extras, now)
 			}
 		}
@@ -274,7 +271,7 @@
 			for ix := range 200 {
 				now := after(20 + float64(ix)/100)
 				bu.Left(now, "s")
-				if bu.Spend(now, "s", 0) {
+				if bu.Spend(now, "s") {
 					spent++
 				}
 			}
@@ -294,6 +291,6 @@
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
 		bu.Arrival(now, "s")
-		bu.Spend(now, "s", 0.1)
+		bu.Spend(now, "s")
 	}
 }
--- a/gateway/nobody_test.go
+++ b/gateway/nobody_test.go
@@ -133,7 +133,7 @@
 		for range 50 {
 			rg.get("/", http.StatusServiceUnavailable)
 		}
-		qt.Assert(t, rg.bu.Spend(rg.ts.Now(), "p0", 0), qt.IsFalse)
+		qt.Assert(t, rg.bu.Spend(rg.ts.Now(), "p0"), qt.IsFalse)
 	})
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -22,10 +22,6 @@
 	hedgePause = 4 * time.Millisecond
 )
 
-// keepForRetries is the part of the retry budget that hedges leave for retries:
-// a hedge makes an answer faster, a retry makes it whole.
-const keepForRetries = 0.1
-
 // ended is an attempt that is over.
 type ended struct {
 	shard  int
@@ -147,7 +143,7 @@
 	cr.unqueue(wa.Shard)
 	var spent time.Time
 	if cr.costs(wa) {
-		if !sv.bu.Spend(now, service, keep(wa.Kind)) {
+		if !sv.bu.Spend(now, service) {
 			sv.re.Done(now, pk, replica.Report{Kind: replica.Canceled})
 			cr.denied(service)
 			cr.qu.Denied(now, wa.Shard, scatter.CauseBudget, now.Add(budgetPause))
@@ -191,13 +187,6 @@
 	return wa.Kind == scatter.Hedge || wa.Kind == scatter.Retry && cr.arrived[wa.Shard]
 }
 
-func keep(wk scatter.WantKind) float64 {
-	if wk == scatter.Hedge {
-		return keepForRetries
-	}
-	return 0
-}
-
 // exchange runs one attempt and reports it.
 func (cr *carrier) exchange(ctx context.Context, at attempt) {
 	sv := cr.ca.sv
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -376,7 +376,7 @@
 	if len(fa.attempts) >= 2 {
 		return
 	}
-	if !fa.en.bu.Spend(fa.sm.clock(), fa.ask().Service, 0) {
+	if !fa.en.bu.Spend(fa.sm.clock(), fa.ask().Service) {
 		fa.sm.unbudgeted++
 		return
 	}
