--- a/emulate/fault.go
+++ b/emulate/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"syscall"
 
 	"balsamwinch.example/result"
 )
@@ -61,6 +62,25 @@
 	return nil
 }
 
+// Hang makes an instance stand still with all its connections open: its machine takes
+// what is sent, and nothing answers. Only one that runs in a process of its own can hang.
+func (lo *Local) Hang(name string) error { return lo.signal("hang", name, syscall.SIGSTOP) }
+
+// Resume ends a Hang.
+func (lo *Local) Resume(name string) error { return lo.signal("resume", name, syscall.SIGCONT) }
+
+func (lo *Local) signal(op, name string, si os.Signal) error {
+	in, err := lo.instance(op, name)
+	if err != nil {
+		return err
+	}
+	ru := in.life()
+	if ru.signal == nil {
+		return &result.Error{Code: result.BadSettings, Op: op, Detail: name + " runs in this process"}
+	}
+	return ru.signal(si)
+}
+
 // LoseDisk removes the data of a control instance that has ended.
 func (lo *Local) LoseDisk(name string) error {
 	in, err := lo.instance("lose the disk", name)
--- a/emulate/process.go
+++ b/emulate/process.go
@@ -17,10 +17,12 @@
 
 // running is one life of an instance.
 type running struct {
-	stop func()        // stop makes it stop gracefully.
-	kill func()        // kill ends it at once; nil if that can't be done.
-	done chan struct{} // done is closed when it has ended.
-	err  error         // err is how it ended; to be read after done.
+	stop func() // stop makes it stop gracefully.
+	kill func() // kill ends it at once; nil if that can't be done.
+	// signal sends a signal to its process; nil if it has none of its own.
+	signal func(os.Signal) error
+	done   chan struct{} // done is closed when it has ended.
+	err    error         // err is how it ended; to be read after done.
 }
 
 // runHere runs an instance in this process.
@@ -63,6 +65,7 @@
 		}
 		_ = cm.Process.Kill()
 	}
+	ru.signal = cm.Process.Signal
 	sent := gob.NewEncoder(in).Encode(se)
 	go func() {
 		defer close(ru.done)
--- a/emulate/soak/player.go
+++ b/emulate/soak/player.go
@@ -110,6 +110,11 @@
 	if fa.Kind != ControlAll {
 		names = names[fa.Target : fa.Target+1]
 	}
+	if fa.Kind == ControlHang {
+		err := pl.lo.Hang(names[0])
+		pl.last(ctx, fa)
+		return errors.Join(err, pl.lo.Resume(names[0]))
+	}
 	end := pl.lo.Kill
 	if fa.Kind == ControlStop {
 		end = pl.lo.Stop
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -36,6 +36,7 @@
 	ConfigAgain   Kind = "ConfigAgain"   // ConfigAgain sends the newest acknowledged configuration again.
 	ConfigInvalid Kind = "ConfigInvalid" // ConfigInvalid sends one that must be refused.
 	ServerAgain   Kind = "ServerAgain"   // ServerAgain ends a backend server at once; it starts again under its id.
+	ControlHang   Kind = "ControlHang"   // ControlHang makes a control instance stand still with its connections open.
 )
 
 // Kinds returns all kinds.
@@ -45,7 +46,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, // At the end, so that seeds of before draw what they drew.
+		ServerAgain, ControlHang, // At the end, so that seeds of before draw what they drew.
 	}
 }
 
@@ -62,7 +63,7 @@
 
 func (ki Kind) part() part {
 	switch ki {
-	case ControlStop, ControlKill, ControlLose, ControlAll:
+	case ControlStop, ControlKill, ControlLose, ControlAll, ControlHang:
 		return partControl
 	case EntryStop, EntryKill:
 		return partEntry
