--- a/feed/carrying.go
+++ b/feed/carrying.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// Sharers returns what SetSharers was called with last.
+func (pu *Publisher) Sharers() int {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	return pu.sharers
+}
+
 // mostSharers returns the highest number of sharers that a connected control instance
 // names, 0 if none does.
 func (su *Subscriber) mostSharers() int {
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -151,7 +151,10 @@
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
 
 // SharersChanged takes over how many of the entry instances callers are led to.
-func (en *entry) SharersChanged(count int) { en.gw.SetSharers(count) }
+func (en *entry) SharersChanged(count int) {
+	en.lg.Info("sharers-changed", zap.Int("Sharers", count))
+	en.gw.SetSharers(count)
+}
 
 // OutliersFound takes over what all entry instances together saw of backend servers.
 func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
