--- a/roster/groups.go
+++ b/roster/groups.go
@@ -41,7 +41,7 @@
 		count := 0
 		for _, centre := range slices.Sorted(maps.Keys(by)) {
 			pl := place{gr.Key, centre}
-			si := gs.sizes[pl].With(now, bo, carried(gs.chosen[pl], by[centre]))
+			si := gs.sizes[pl].With(now, bo, carried(by[centre]))
 			out.sizes[pl] = si
 			out.chosen[pl] = Choose(gr.Key, by[centre], si.Members())
 			count += len(out.chosen[pl])
@@ -68,16 +68,3 @@
 	}
 	return out, true
 }
-
-// carried returns the sum of the present loads of the instances that were chosen.
-func carried(chosen, now []Instance) float64 {
-	load := make(map[string]float64, len(now))
-	for _, in := range now {
-		load[in.Name] = in.Load
-	}
-	sum := 0.0
-	for _, in := range chosen {
-		sum += load[in.Name]
-	}
-	return sum
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -31,9 +31,11 @@
 	// leastMembers is how many instances are chosen in a data centre at least: one may be
 	// lost, and callers who exclude it need another.
 	leastMembers = 3
-	// shrinkPause is the time between two steps down, of one instance each. Callers keep a
-	// list for some seconds, so that load follows a step late, while growth is at once.
+	// shrinkPause is the time between two steps down, and shrinkPart the part of what is
+	// too many that a step takes away. Callers keep a list for some seconds and move by
+	// and by, while growth is at once.
 	shrinkPause = time.Second
+	shrinkPart  = 0.25
 )
 
 // Instance is an entry instance that is ready for callers.
@@ -71,9 +73,9 @@
 // Members returns how many instances are chosen.
 func (si Size) Members() int { return si.members }
 
-// With returns the size after a look at what the chosen instances carry together, as the
-// sum of their Loads. The first look chooses as many as there may be: how much they will
-// carry isn't known.
+// With returns the size after a look at what all instances carry together, as the sum of
+// their Loads. The first look chooses as many as there may be: how much they will carry
+// isn't known, and while nobody carries anything it stays so.
 func (si Size) With(now time.Time, bo Bounds, load float64) Size {
 	want := min(max(int(math.Ceil(load)), bo.Least), bo.Most)
 	switch {
@@ -83,10 +85,11 @@
 		return Size{members: want, shrunk: now}
 	case si.members > bo.Most:
 		return Size{members: bo.Most, shrunk: now}
-	case now.Sub(si.shrunk) < shrinkPause:
+	case load == 0 || now.Sub(si.shrunk) < shrinkPause:
 		return si
 	default:
-		return Size{members: si.members - 1, shrunk: now}
+		step := int(math.Ceil(shrinkPart * float64(si.members-want)))
+		return Size{members: si.members - step, shrunk: now}
 	}
 }
 
@@ -114,3 +117,13 @@
 	}
 	return out
 }
+
+// carried returns the sum of the instances' loads. One that isn't chosen counts too: its
+// callers move to those that are.
+func carried(ins []Instance) float64 {
+	sum := 0.0
+	for _, in := range ins {
+		sum += in.Load
+	}
+	return sum
+}
