--- a/feed/fetch_test.go
+++ b/feed/fetch_test.go
@@ -241,3 +241,43 @@
 	one, two := net.Pipe()
 	return link.New(one, wo.config()), link.New(two, wo.config())
 }
+
+// A storm of 25 small changes, 60 ms apart, of which another data centre's control
+// instance announces each first. What crosses data centres grows with the entry instances
+// by announcements alone, whatever the number of routes, and the last change is in force
+// everywhere within a small part of a second.
+func TestStormAtManyInstances(t *testing.T) {
+	for _, tc := range []struct{ instances, routes int }{{10, 100}, {10, 1800}, {60, 1800}, {200, 100}, {200, 1800}} {
+		t.Run(fmt.Sprintf("%d instances, %d routes", tc.instances, tc.routes), func(t *testing.T) {
+			play(t, func(c *qt.C, wo *world) {
+				wo.delay = time.Millisecond
+				far, near := wo.farAndNear()
+				ens := wo.entries(tc.instances, far)
+				wo.publish(1, routes(1, tc.routes), far, near)
+				wo.after(time.Second)
+				across, within := 0, 0
+				count := func(sign int) {
+					for _, en := range ens {
+						across += sign * wo.from(en, far)
+						within += sign * wo.from(en, near)
+					}
+				}
+				count(-1)
+				const last = 26
+				for version := uint64(2); version <= last; version++ {
+					wo.publish(version, routes(version, tc.routes), far, near)
+					wo.after(52 * time.Millisecond)
+				}
+				wo.after(200 * time.Millisecond)
+				count(1)
+				for _, en := range ens {
+					c.Check(en.held()[len(en.held())-1], qt.Equals, uint64(last))
+				}
+				changes := 25 * tc.instances
+				t.Logf("%d bytes a change and instance across data centres, %d within", across/changes, within/changes)
+				c.Check(across/changes < 50, qt.IsTrue)
+				c.Check(within/changes < 250, qt.IsTrue)
+			})
+		})
+	}
+}
