--- a/tier/roster.go
+++ b/tier/roster.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,8 +40,9 @@
 
 // decision is what was decided last. It is never changed.
 type decision struct {
-	tb *route.Table
-	gs roster.Groups
+	tb     *route.Table
+	groups groups
+	chosen roster.Groups
 }
 
 func newRosters(tbs Tables, pu *feed.Publisher, ts *timer.Service, lg *zap.Logger) *rosters {
@@ -73,15 +76,15 @@
 func (ro *rosters) look(now time.Time) {
 	de := *ro.decided.Load()
 	if tb := ro.read(); tb != nil {
-		de.tb = tb
+		de.tb, de.groups = tb, groupsOf(tb)
 	}
 	if de.tb == nil {
 		return
 	}
-	was := de.gs.Sharers()
-	de.gs = de.gs.With(now, groupsOf(de.tb), ro.instances())
+	was := de.chosen.Sharers()
+	de.chosen = de.chosen.With(now, de.groups.list(), ro.instances())
 	ro.decided.Store(&de)
-	if sharers := de.gs.Sharers(); sharers != was {
+	if sharers := de.chosen.Sharers(); sharers != was {
 		ro.lg.Info("entry-instances-chosen", zap.Int("Sharers", sharers), zap.Int("Before", was), zap.Int("Ready", len(ro.entries())))
 		ro.pu.SetSharers(sharers)
 	}
@@ -121,46 +124,56 @@
 	if de.tb == nil {
 		return nil
 	}
-	gr, ok := groupOf(de.tb, host)
+	gr, ok := de.groups.of(de.tb, host)
 	if !ok {
 		return nil
 	}
-	list, _ := de.gs.Addresses(gr.Key, dataCentre)
+	list, _ := de.chosen.Addresses(gr.Key, dataCentre)
 	return slices.DeleteFunc(list, func(address string) bool {
 		return !slices.ContainsFunc(ready, func(en feed.Entry) bool { return en.Address == address })
 	})
 }
 
-// groupsOf returns the groups of all merged routes.
-func groupsOf(tb *route.Table) []roster.Group {
-	seen := make(map[string]bool)
-	var out []roster.Group
+// groups are the groups of a table, by the first shard of their routes.
+type groups map[string]roster.Group
+
+// groupsOf returns the groups of a table. Merged routes of the same backend servers are
+// one group: were their callers led to other entry instances each, these would share the
+// servers' connections all the same. Only merged requests are led to a part of the
+// instances: each takes a connection to a server of every shard.
+//
+// A group is named after its first host and not after its services: when shards are cut
+// anew, its callers stay, and no other instances have to connect to all the new servers.
+func groupsOf(tb *route.Table) groups {
+	gs := make(groups)
 	for _, ro := range tb.Merged() {
-		if gr, ok := group(tb, ro); ok && !seen[gr.Key] {
-			seen[gr.Key] = true
-			out = append(out, gr)
+		first := ro.Shards[0]
+		se, ok := tb.Service(first)
+		if !ok {
+			continue
+		}
+		if gr, known := gs[first]; !known || ro.Host < gr.Key {
+			gs[first] = roster.Group{Key: ro.Host, Limit: se.MaxConnections}
 		}
 	}
-	return out
+	return gs
+}
+
+// list returns the groups in the order of their keys.
+func (gs groups) list() []roster.Group {
+	return slices.SortedFunc(maps.Values(gs), func(a, b roster.Group) int { return strings.Compare(a.Key, b.Key) })
 }
 
-// groupOf returns the group of a host, and false if its callers may go to all. Callers
-// of one host can't be told apart, so one merged route decides for the others.
-func groupOf(tb *route.Table, host string) (roster.Group, bool) {
+// of returns the group of a host, and false if its callers may go to all. Callers of one
+// host can't be told apart, so one merged route decides for the others.
+func (gs groups) of(tb *route.Table, host string) (roster.Group, bool) {
 	for _, ro := range tb.Of(host) {
-		if gr, ok := group(tb, ro); ok {
+		if len(ro.Shards) == 0 {
+			continue
+		}
+		if gr, ok := gs[ro.Shards[0]]; ok {
 			return gr, true
 		}
 	}
 	return roster.Group{}, false
 }
-
-// group returns the group of a route. Only merged requests are led to a part of the
-// instances: each takes a connection to a server of every shard.
-func group(tb *route.Table, ro *route.Route) (roster.Group, bool) {
-	if len(ro.Shards) == 0 {
-		return roster.Group{}, false
-	}
-	se, ok := tb.Service(ro.Shards[0])
-	return roster.Group{Key: se.Name, Limit: se.MaxConnections}, ok
-}
--- a/tier/roster_test.go
+++ b/tier/roster_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/feed"
+	"balsamwinch.example/roster"
 	"balsamwinch.example/route"
 	"balsamwinch.example/timer"
 )
@@ -74,6 +75,33 @@
 	})
 }
 
+// Shards are cut anew: the routes stay and name other services. Their callers must stay
+// where they are, or twice as many entry instances would connect to all new servers in
+// the seconds in which these are cold. Two hosts of the same shards are one group.
+func TestCallersStayWhenShardsAreCutAnew(t *testing.T) {
+	c := qt.New(t)
+	wide := func(service string) *route.Table {
+		merge := route.Merge{TopK: 5, RecordBytes: 16, LeastShare: 0.5}
+		tb, err := route.New(1, []route.Route{
+			{Name: "one", Host: "one.example", Prefix: "/", Timeout: time.Second, Shards: []string{service}, Merge: merge},
+			{Name: "two", Host: "a-two.example", Prefix: "/", Timeout: time.Second, Shards: []string{service}, Merge: merge},
+		}, []route.Service{{Name: service, MaxConnections: 10}}, route.Limits{})
+		c.Assert(err, qt.IsNil)
+		return tb
+	}
+	want := []roster.Group{{Key: "a-two.example", Limit: 10}}
+	for _, service := range []string{"s1", "later-s1"} {
+		tb := wide(service)
+		gs := groupsOf(tb)
+		c.Assert(gs.list(), qt.DeepEquals, want)
+		for _, host := range []string{"one.example", "A-two.example:80"} {
+			gr, ok := gs.of(tb, host)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(gr, qt.Equals, want[0])
+		}
+	}
+}
+
 // A configuration that can't be read leaves what was decided by the one before.
 func TestUnreadableConfigurationChangesNoList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
