--- a/feed/carrying.go
+++ b/feed/load.go
@@ -6,8 +6,8 @@
 // an earlier release: as much as it should. So none is held for idle for want of a word.
 const unknownLoad = 1
 
-// carry takes in what an entry instance carries.
-func (pu *Publisher) carry(sb *subscriber, load float64) {
+// report takes in the load of an entry instance.
+func (pu *Publisher) report(sb *subscriber, load float64) {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	if _, ok := pu.live[sb.en.Name]; ok {
@@ -44,9 +44,9 @@
 func (su *Subscriber) SetLoad(load float64) {
 	su.mu.Lock()
 	defer su.mu.Unlock()
-	su.carrying = Carrying{Load: float32(load)}
+	su.reported = LoadReport{Load: float32(load)}
 	for _, co := range su.conns {
-		_ = co.Send(su.carrying) // The end of the link is seen where it is read.
+		_ = co.Send(su.reported) // The end of the link is seen where it is read.
 	}
 }
 
--- a/feed/message.go
+++ b/feed/message.go
@@ -31,7 +31,7 @@
 	kindSeen
 	kindFound
 	kindInvite
-	kindCarrying
+	kindLoadReport
 )
 
 // EntryState says what an entry instance does with callers.
@@ -156,14 +156,14 @@
 // Kind returns the kind of the message.
 func (Update) Kind() peer.Kind { return kindUpdate }
 
-// Carrying tells a control instance how much the entry instance carries, as a part of
+// LoadReport tells a control instance how much the entry instance carries, as a part of
 // what it should.
-type Carrying struct {
+type LoadReport struct {
 	Load float32 `cbor:"1,keyasint"`
 }
 
 // Kind returns the kind of the message.
-func (Carrying) Kind() peer.Kind { return kindCarrying }
+func (LoadReport) Kind() peer.Kind { return kindLoadReport }
 
 // Seen tells a control instance what the entry instance saw of backend servers.
 type Seen struct {
@@ -183,5 +183,5 @@
 
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}, Seen{}, Found{}, Invite{}, Carrying{}}
+	return []peer.Message{Subscribe{}, Standing{}, Fetch{}, Document{}, Picture{}, Update{}, Seen{}, Found{}, Invite{}, LoadReport{}}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -304,8 +304,8 @@
 			pu.stand(sb, me.State)
 		case Fetch:
 			pu.send(sb, me)
-		case Carrying:
-			pu.carry(sb, float64(me.Load))
+		case LoadReport:
+			pu.report(sb, float64(me.Load))
 		case Seen:
 			pu.outliers.add(pu.ts.Now(), sb.en.Name, me.Samples)
 		default:
--- a/feed/source.go
+++ b/feed/source.go
@@ -168,7 +168,7 @@
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.held, Listener: su.cf.Own != "",
 	})
 	if err == nil && su.cf.Own == "" {
-		err = co.Send(su.carrying)
+		err = co.Send(su.reported)
 	}
 	if err == nil {
 		su.conns[so] = co
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -78,8 +78,8 @@
 
 	mu       sync.Mutex
 	state    EntryState
-	carrying Carrying // carrying is the load as it was told last, nothing at the start.
-	held     uint64   // held is the version of the configuration in force.
+	reported LoadReport // reported is the load as it was told last, nothing at the start.
+	held     uint64     // held is the version of the configuration in force.
 	conns    map[*source]*link.Conn
 	gone     map[string]struct{}
 	// invites holds the addresses of control instances that invited this one, with the
--- a/roster/groups.go
+++ b/roster/groups.go
@@ -43,7 +43,7 @@
 		count := 0
 		for _, centre := range slices.Sorted(maps.Keys(by)) {
 			pl := place{gr.Key, centre}
-			si := gs.sizes[pl].With(now, bo, carried(by[centre]))
+			si := gs.sizes[pl].With(now, bo, total(by[centre]))
 			out.sizes[pl] = si
 			out.chosen[pl] = Choose(gr.Key, by[centre], si.Members())
 			count += len(out.chosen[pl])
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -118,9 +118,9 @@
 	return out
 }
 
-// carried returns the sum of the instances' loads. One that isn't chosen counts too: its
+// total returns the sum of the instances' loads. One that isn't chosen counts too: its
 // callers move to those that are.
-func carried(ins []Instance) float64 {
+func total(ins []Instance) float64 {
 	sum := 0.0
 	for _, in := range ins {
 		sum += in.Load
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -66,7 +66,7 @@
 	en.addInvitations(sp, se.LinkAddress(), lc)
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"news", en.tellNews})
-	sp.Add(service{"carrying", en.tellCarrying})
+	sp.Add(service{"load", en.tellLoad})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
