--- a/replica/news.go
+++ b/replica/news.go
@@ -8,6 +8,10 @@
 	"balsamwinch.example/outlier"
 )
 
+// newsGap is the time between two calls of News from which the process stood still
+// meanwhile; they are a few hundred milliseconds apart.
+const newsGap = time.Second
+
 // note counts an outcome for the other entry instances.
 func (se *server) note(kind ReportKind) {
 	switch kind {
@@ -44,11 +48,12 @@
 
 // noteWaiting notes the requests in flight that have been slow already. While no hedge
 // can be afforded, a request to a slow server ends with the caller's patience alone, and
-// the others would learn of it no sooner.
-func (se *server) noteWaiting(at time.Duration) {
+// the others would learn of it no sooner. Requests from before the process stood still,
+// since when it went on again, show nothing of their servers.
+func (se *server) noteWaiting(at, since time.Duration) {
 	for ix := range se.flights {
 		fl := &se.flights[ix]
-		if fl.work.known() {
+		if fl.start >= since && fl.work.known() {
 			se.noteLatency(fl, at-fl.start, fl.work.typical(), true)
 			fl.told = fl.told || float64(at-fl.start) >= outlier.SlowFactor*float64(fl.work.typical())
 		}
@@ -62,11 +67,16 @@
 func (tb *Table) News(now time.Time, most int) []outlier.Sample {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	at := tb.at(now)
+	before, at := tb.newsAt, tb.at(now)
+	tb.newsAt = at
 	tb.pressing = false
+	since := tb.resumed
+	if at-before >= newsGap {
+		since = at // It stood still just now, and Resumed is yet to say so.
+	}
 	ids := make([]string, 0, len(tb.servers))
 	for id, se := range tb.servers {
-		se.noteWaiting(at)
+		se.noteWaiting(at, since)
 		if se.news != (outlier.Sample{}) {
 			ids = append(ids, id)
 		}
--- a/replica/news_test.go
+++ b/replica/news_test.go
@@ -128,6 +128,35 @@
 	c.Assert([]uint32{sas[0].Count, sas[0].Slow}, qt.DeepEquals, []uint32{1, 0})
 }
 
+// The machine of an entry instance stands still for four seconds, and wakes with requests
+// under way. They seem to have waited for all that time; told to the others, they would
+// set aside backend servers that answered long ago, whether or not the instance has
+// noticed already that it stood still.
+func TestNewsAfterStandingStill(t *testing.T) {
+	for _, noticed := range []bool{false, true} {
+		t.Run(fmt.Sprint(noticed), func(t *testing.T) {
+			c := qt.New(t)
+			be := newBench(c, ready("a"))
+			be.settle("a")
+			be.tb.News(be.now, 10)
+			be.only("a")
+			be.pass(4 * time.Second)
+			if noticed {
+				be.tb.Resumed(be.now)
+			}
+			c.Assert(be.tb.News(be.now, 10), qt.HasLen, 0)
+			be.tb.Resumed(be.now)
+			be.pass(300 * ms)
+			c.Assert(be.tb.News(be.now, 10), qt.HasLen, 0)
+			be.only("a")
+			be.pass(300 * ms)
+			sas := be.tb.News(be.now, 10)
+			c.Assert(sas, qt.HasLen, 1)
+			c.Assert(sas[0].Slow, qt.Equals, uint32(1))
+		})
+	}
+}
+
 // News of a fault press, and others don't: those of sound servers can wait for more.
 func TestFaultsPress(t *testing.T) {
 	for _, tc := range []struct {
--- a/replica/table.go
+++ b/replica/table.go
@@ -58,6 +58,7 @@
 	candidates []candidate          // candidates is room for those of one choice.
 	home       map[string]bool      // home are the ids preferred like those in the own data centre.
 	newsFrom   string               // newsFrom is the id after which the next news begin.
+	newsAt     time.Duration        // newsAt is when News was called last.
 	press      chan struct{}        // press is what Pressing returns.
 	pressing   bool                 // pressing says that it was sent to since the last news.
 }
