--- a/feed/fetch.go
+++ b/feed/fetch.go
@@ -17,9 +17,9 @@
 	fetchMost = 2 * time.Second
 	// nearWait is for how long a control instance of the own data centre that held the
 	// same version as this instance is waited for once another one announces a newer.
-	// All learn of a version within some 10 to 40 ms of each other (time between their
-	// lines document-learned at 1,800 routes); asked at once, the first to announce it
-	// would be one of another data centre four times in five.
+	// Five control instances learn of a version within 4 to 39 ms of each other (26 of 33
+	// versions, lines configuration-published; the others while one of them hung or was
+	// down). With the wait, 97 to 100 of 100 fetches were from the own data centre.
 	nearWait = 100 * time.Millisecond
 	// refusalPause is the time after which a version that the observer refused is
 	// fetched again.
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -13,7 +13,7 @@
 	// still for up to a quarter of a second now and then, and their queues drain for
 	// half as long again: a server is slow only if two spans in a row say so, which no
 	// such pause fills. With 400 ms a pause at the border of two spans did (model of 191
-	// entry instances: 290 more false findings in 16,128 server-seconds). What is much
+	// entry instances: 466 false findings in 16,128 server-seconds, 235 with 800). What is much
 	// slower is found by its spell long before.
 	span = 800 * time.Millisecond
 	// failingSpan is the same for failures, which no pause brings about.
