--- a/instance/voter.go
+++ b/instance/voter.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -97,13 +98,8 @@
 func (vo *voter) start(hs quorum.HardState, sn wal.Snapshot, ens []quorum.Entry) {
 	now := vo.th.ts.Now()
 	vo.formed = true
-	vo.st = quorum.New(quorum.Config{
-		Self:      vo.id,
-		Election:  vo.th.cf.Timing.Election,
-		Heartbeat: vo.th.cf.Timing.Heartbeat,
-		Seed:      uint64(now.UnixNano()),
-		Boot:      vo.boot,
-	}, quorum.Stored{
+	ti := vo.th.cf.Timing
+	vo.st = quorum.New(quorumConfig(vo.id, vo.boot, ti.Election, ti.Heartbeat), quorum.Stored{
 		Hard:           hs,
 		SnapshotIndex:  sn.Index,
 		SnapshotTerm:   sn.Term,
@@ -113,6 +109,21 @@
 	vo.role = vo.st.Role()
 }
 
+// quorumConfig returns what a voter is started with.
+//
+// The seed is drawn and not the time: quorum.New mixes the time into it, and a time mixed
+// with itself is the same for all. Voters that drew the same waits stood for election
+// together, term after term; with two left of three the leases ran out meanwhile.
+func quorumConfig(id quorum.ID, boot uint64, election, heartbeat time.Duration) quorum.Config {
+	return quorum.Config{
+		Self:      id,
+		Election:  election,
+		Heartbeat: heartbeat,
+		Seed:      rand.Uint64(),
+		Boot:      boot,
+	}
+}
+
 // form starts the replicated log of a fresh disk, with the voters of the tier's
 // first start or, if they are none, as an outsider that waits to be added.
 func (vo *voter) form(vs quorum.VoterSet) {
