--- a/feed/fetch.go
+++ b/feed/fetch.go
@@ -72,7 +72,7 @@
 	}
 	if fe.asked != nil {
 		due := fe.askedAt.Add(fe.wait)
-		if fe.asked.up && now.Before(due) {
+		if fe.asked.up.Load() && now.Before(due) {
 			su.wakeAt(now, due)
 			return
 		}
@@ -90,7 +90,7 @@
 // One that is behind was late before, and isn't waited for again until it has caught up.
 func (su *Subscriber) nearKeepsUp() bool {
 	for _, so := range su.sources {
-		if so.near && so.up && so.version == su.held {
+		if so.near && so.up.Load() && so.version == su.held {
 			return true
 		}
 	}
@@ -108,7 +108,7 @@
 	}
 	var best *source
 	for _, so := range su.sources {
-		if !so.up || so.version <= su.held {
+		if !so.up.Load() || so.version <= su.held {
 			continue
 		}
 		if so.version == fe.refused && now.Before(fe.retryAt) {
--- a/feed/load.go
+++ b/feed/load.go
@@ -62,7 +62,7 @@
 func (su *Subscriber) mostSharers() int {
 	most := 0
 	for _, so := range su.sources {
-		if so.up {
+		if so.up.Load() {
 			most = max(most, so.sharers)
 		}
 	}
--- a/feed/outliers.go
+++ b/feed/outliers.go
@@ -75,7 +75,7 @@
 	now := su.ts.Now()
 	var sos []*source
 	for so, co := range su.conns {
-		if so.told.Load() && now.Sub(co.Heard()) < 2*su.cf.Link.Ping {
+		if so.up.Load() && now.Sub(co.Heard()) < 2*su.cf.Link.Ping {
 			sos = append(sos, so)
 		}
 	}
--- a/feed/source.go
+++ b/feed/source.go
@@ -36,8 +36,7 @@
 	hurry   chan struct{} // hurry ends the wait before the next dial.
 	name    string
 	near    bool        // near says that it is of the own data centre.
-	up      bool        // up says that the link stands and the picture has come.
-	told    atomic.Bool // told says so too, to all goroutines.
+	up      atomic.Bool // up says that the link stands and the picture has come; any goroutine may ask.
 	failed  bool        // failed says that the loss or absence of the link is logged.
 	lostAt  time.Time
 	members []Member
@@ -76,7 +75,7 @@
 		if so.unwanted.IsZero() {
 			so.unwanted = now
 		}
-		if so.up || now.Sub(so.unwanted) < forgetAfter {
+		if so.up.Load() || now.Sub(so.unwanted) < forgetAfter {
 			continue
 		}
 		so.cancel()
@@ -96,7 +95,7 @@
 		wanted[address] = struct{}{}
 	}
 	for _, so := range su.sources {
-		if !so.up && su.Connected() > 0 {
+		if !so.up.Load() && su.Connected() > 0 {
 			continue
 		}
 		for _, me := range so.members {
@@ -217,9 +216,8 @@
 
 func (su *Subscriber) picture(so *source, pi Picture) {
 	now := su.ts.Now()
-	if !so.up {
-		so.up = true
-		so.told.Store(true)
+	if !so.up.Load() {
+		so.up.Store(true)
 		su.up.Add(1)
 	}
 	fields := []zap.Field{
@@ -244,7 +242,7 @@
 }
 
 func (su *Subscriber) update(so *source, up Update) {
-	if !so.up {
+	if !so.up.Load() {
 		return
 	}
 	if up.Members != nil {
@@ -272,9 +270,8 @@
 // servers stays for the time of SubscriberConfig.Hold, and while no control
 // instance is connected.
 func (su *Subscriber) lost(so *source, err error) {
-	if so.up {
-		so.up = false
-		so.told.Store(false)
+	if so.up.Load() {
+		so.up.Store(false)
 		su.up.Add(-1)
 		su.dirty = true
 		su.un.Disconnect(su.ts.Now(), so.address)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -287,7 +287,7 @@
 func (su *Subscriber) liveEntries() []Entry {
 	live := make(map[string]Entry)
 	for _, so := range su.sources {
-		if !so.up {
+		if !so.up.Load() {
 			continue
 		}
 		for name, en := range so.entries {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,19 +134,16 @@
 	sv.bu.SetEntries(now, count)
 	sv.mu.Lock()
 	sv.entriesKnown(sv.entries.now, count)
-	if sv.entries = sv.entries.with(now, count); count < sv.entries.top {
-		sv.ts.Timeout(entryMemory, sv.share)
-	}
+	sv.entries = sv.counted(sv.entries, now, count)
 	sv.mu.Unlock()
 	sv.share()
 }
 
 // SetSharers takes over how many of the entry instances callers are led to.
 func (sv *Server) SetSharers(count int) {
+	now := sv.ts.Now()
 	sv.mu.Lock()
-	if sv.sharers = sv.sharers.with(sv.ts.Now(), count); count < sv.sharers.top {
-		sv.ts.Timeout(entryMemory, sv.share)
-	}
+	sv.sharers = sv.counted(sv.sharers, now, count)
 	sv.mu.Unlock()
 	sv.share()
 }
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamwinch.example/registry"
+	"balsamwinch.example/roster"
 	"balsamwinch.example/route"
 	"balsamwinch.example/upstream"
 )
@@ -14,13 +15,12 @@
 const entryMemory = 20 * time.Second
 
 const (
-	// connectionShare is the part of a backend server's connections that all entry
-	// instances together may open.
-	connectionShare = 0.8
-	// youngShare is that part for an instance that has just started, until youngFor
-	// has passed. If its predecessor lost power, so did perhaps all others, and the
-	// backend servers still count connections whose other ends are gone: until they
-	// notice, what is opened beyond their limit is reset, with the request on it.
+	// youngShare is the part of a backend server's connections that all entry instances
+	// together may open, in place of roster.ConnectionShare, for an instance that has
+	// just started, until youngFor has passed. If its predecessor lost power, so did
+	// perhaps all others, and the backend servers still count connections whose other
+	// ends are gone: until they notice, what is opened beyond their limit is reset, with
+	// the request on it.
 	youngShare = 0.45
 	youngFor   = 6 * time.Second
 	// newFor is how long an instance opens one connection to each backend server
@@ -56,6 +56,16 @@
 	return ec.top
 }
 
+// counted returns a count with a new one, and has connections divided anew once a higher
+// one of before counts no more.
+func (sv *Server) counted(ec entryCount, now time.Time, count int) entryCount {
+	ec = ec.with(now, count)
+	if count < ec.top {
+		sv.ts.Timeout(entryMemory, sv.share)
+	}
+	return ec
+}
+
 // share divides each backend server's connections among the entry instances, so
 // that together they never open more than it takes: what is over is reset, with
 // whatever request was on it.
@@ -72,7 +82,7 @@
 		most := 1
 		if limit := sv.limit(tb, name); limit > 0 {
 			most = max(1, int(part*float64(limit)/float64(entries)))
-			if connectionShare*float64(limit) < float64(entries) {
+			if roster.ConnectionShare*float64(limit) < float64(entries) {
 				sc.add(sv.cf.Name, sv.cf.DataCentre, ses)
 			}
 		}
@@ -120,7 +130,7 @@
 	case age < youngFor:
 		return youngShare
 	default:
-		return connectionShare
+		return roster.ConnectionShare
 	}
 }
 
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -62,18 +62,11 @@
 	begun   time.Time
 	sum     float64
 	count   uint32
-	tellers []teller
+	tellers tally
 	before  float64 // before is the mean of the span before.
 	level   float64 // level is the lower mean of the last two spans, or 0.
 }
 
-// teller is what one entry instance told in a span.
-type teller struct {
-	name  string
-	sum   float64
-	count uint32
-}
-
 // New returns a detector that has seen nothing.
 func New() *Detector { return &Detector{servers: make(map[string]*server)} }
 
@@ -108,21 +101,12 @@
 	}
 	si.sum += sum
 	si.count += count
-	for ix := range si.tellers {
-		if te := &si.tellers[ix]; te.name == from {
-			te.sum += sum
-			te.count += count
-			return
-		}
-	}
-	if len(si.tellers) < mostTellers {
-		si.tellers = append(si.tellers, teller{from, sum, count})
-	}
+	si.tellers.add(from, sum, count, mostTellers)
 }
 
-// judge ends the span if it is long enough and has enough samples.
-func (si *signal) judge(now time.Time, span time.Duration, least float64) {
-	if si.count < leastSamples || now.Sub(si.begun) < span {
+// judge ends the span if it has the given length and enough samples.
+func (si *signal) judge(now time.Time, length time.Duration, least float64) {
+	if si.count < leastSamples || now.Sub(si.begun) < length {
 		return
 	}
 	mean := si.mean()
--- a/outlier/spell.go
+++ b/outlier/spell.go
@@ -35,19 +35,13 @@
 type spell struct {
 	first, last time.Time // first and last are when slow requests were sent.
 	slow, quick uint32
-	log         float64 // log sums the logarithms of all latencies of the spell.
-	reporters   []reporter
+	log         float64   // log sums the logarithms of the samples with slow latencies.
+	reporters   tally     // reporters are the entry instances that saw slow requests.
 	found       time.Time // found is when the server was found slow; zero if it isn't.
 	level       float64
 	again       uint32 // again counts the quick latencies in a row since.
 }
 
-// reporter is an entry instance that saw slow requests.
-type reporter struct {
-	name string
-	slow uint32
-}
-
 // add takes in a sample of an entry instance.
 func (sp *spell) add(now time.Time, from string, sa Sample) {
 	quick := sa.Count - min(sa.Slow, sa.Count)
@@ -86,20 +80,7 @@
 	sp.again = 0
 	sp.slow += sa.Slow
 	sp.log += float64(sa.Log)
-	sp.report(from, sa.Slow)
-}
-
-// report counts the slow latencies by entry instance.
-func (sp *spell) report(from string, slow uint32) {
-	for ix := range sp.reporters {
-		if sp.reporters[ix].name == from {
-			sp.reporters[ix].slow += slow
-			return
-		}
-	}
-	if len(sp.reporters) < mostReporters {
-		sp.reporters = append(sp.reporters, reporter{from, slow})
-	}
+	sp.reporters.add(from, 0, sa.Slow, mostReporters)
 }
 
 // others returns how many slow latencies are from others than the entry instance with
@@ -107,8 +88,8 @@
 func (sp *spell) others() uint32 {
 	sum, most := uint32(0), uint32(0)
 	for _, re := range sp.reporters {
-		sum += re.slow
-		most = max(most, re.slow)
+		sum += re.count
+		most = max(most, re.count)
 	}
 	return sum - most
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,13 +20,14 @@
 )
 
 const (
-	// connectionShare is the part of a backend server's connections that the chosen
+	// ConnectionShare is the part of a backend server's connections that the chosen
 	// instances may hold together. The rest is for those that are not chosen, and for
-	// connections of which the server hasn't seen the end yet.
-	connectionShare = 0.8
+	// connections of which the server hasn't seen the end yet. Who divides connections
+	// among them goes by it, too.
+	ConnectionShare = 0.8
 	// enoughConnections is how many connections to each backend server an instance should
 	// have room for. With one, a second request to the same server waits or goes to a
-	// slower one; two hold what 20 merged requests a second need.
+	// slower one, and is most often the first on a new connection.
 	enoughConnections = 2
 	// leastMembers is how many instances are chosen in a data centre at least: one may be
 	// lost, and callers who exclude it need another.
@@ -61,7 +62,7 @@
 	if limit <= 0 || dataCentres <= 0 {
 		return Bounds{Least: math.MaxInt32, Most: math.MaxInt32}
 	}
-	held := connectionShare * float64(limit) / float64(dataCentres)
+	held := ConnectionShare * float64(limit) / float64(dataCentres)
 	return Bounds{
 		Least: max(leastMembers, int(held/enoughConnections)),
 		Most:  max(leastMembers, int(held)),
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -18,8 +18,6 @@
 type Dialect interface {
 	// Names returns the header names.
 	Names() gateway.Names
-	// Table reads a configuration. The error says why it is invalid.
-	Table(data []byte) (*route.Table, error)
 	// Tables returns what reads accepted configurations one after the other.
 	Tables() Tables
 	// ControlHandler serves operators and backend servers.
--- a/tier/roster.go
+++ b/tier/roster.go
@@ -42,6 +42,7 @@
 type decision struct {
 	tb     *route.Table
 	groups groups
+	list   []roster.Group // list is groups.list().
 	chosen roster.Groups
 }
 
@@ -85,15 +86,17 @@
 	de := *ro.decided.Load()
 	if tb := ro.read(); tb != nil {
 		de.tb, de.groups = tb, groupsOf(tb)
+		de.list = de.groups.list()
 	}
 	if de.tb == nil {
 		return
 	}
 	was := de.chosen.Sharers()
-	de.chosen = de.chosen.With(now, de.groups.list(), ro.instances())
+	ins := ro.instances()
+	de.chosen = de.chosen.With(now, de.list, ins)
 	ro.decided.Store(&de)
 	if sharers := de.chosen.Sharers(); sharers != was {
-		ro.lg.Info("entry-instances-chosen", zap.Int("Sharers", sharers), zap.Int("Before", was), zap.Int("Ready", len(ro.entries())))
+		ro.lg.Info("entry-instances-chosen", zap.Int("Sharers", sharers), zap.Int("Before", was), zap.Int("Ready", len(ins)))
 		ro.pu.SetSharers(sharers)
 	}
 }
