--- a/gateway/merge_test.go
+++ b/gateway/merge_test.go
@@ -410,23 +410,27 @@
 
 // All shards refuse a query, so nothing has run, and the caller is told so; with
 // one part that ran, it isn't.
+//
+// If every shard is needed, the query fails with the first that all its servers refused.
+// Over sockets an attempt of another shard may still be under way then, of which nobody
+// can say that it won't run: that case is told in the bubble, where replies come together.
+// Over sockets one shard is enough for an answer, so that the query fails with the last.
 func TestShardsRefuse(t *testing.T) {
-	for _, ran := range []bool{false, true} {
-		onBoth(t, func(t *testing.T, nw network) {
-			rg := newRig(t, nw, setup{})
-			shs := shards(3)
-			for _, sh := range shs {
-				rg.serve(sh, 2, shed(http.StatusServiceUnavailable))
-			}
-			status := http.StatusServiceUnavailable
-			if ran {
-				rg.serve("p0", 0, fine)
-				status = http.StatusBadGateway
-			}
-			rg.table(route.Route{Prefix: "/", Timeout: time.Second, Aim: 100 * time.Millisecond, MaxAttempts: 2, Shards: shs, Merge: route.Merge{TopK: 5, LeastShare: 1}})
-			rg.get("/a", status)
-		})
+	refuse := func(t *testing.T, nw network, least float64, ran bool, status int) {
+		rg := newRig(t, nw, setup{})
+		shs := shards(3)
+		for _, sh := range shs {
+			rg.serve(sh, 2, shed(http.StatusServiceUnavailable))
+		}
+		if ran {
+			rg.serve("p0", 0, fine)
+		}
+		rg.table(route.Route{Prefix: "/", Timeout: time.Second, Aim: 100 * time.Millisecond, MaxAttempts: 2, Shards: shs, Merge: route.Merge{TopK: 5, LeastShare: least}})
+		rg.get("/a", status)
 	}
+	onBoth(t, func(t *testing.T, nw network) { refuse(t, nw, 0.3, false, http.StatusServiceUnavailable) })
+	onBoth(t, func(t *testing.T, nw network) { refuse(t, nw, 1, true, http.StatusBadGateway) })
+	synctest.Test(t, func(t *testing.T) { refuse(t, newPipes(), 1, false, http.StatusServiceUnavailable) })
 }
 
 // A query with a body goes to each shard whole, and many at once do not mix.
