--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -63,6 +63,7 @@
 	live        map[string]Entry   // live holds what the newest link of each entry instance said.
 	loads       map[string]float64 // loads holds what entry instances say that they carry, by name.
 	sharers     int
+	led         map[string]map[string]int // led is what SetLed was called with last; nil before.
 	pending     pending
 	armed       bool      // armed says that a flush is due.
 	flushed     time.Time // flushed is the time of the last update.
@@ -77,7 +78,8 @@
 	co       *link.Conn
 	en       Entry
 	number   uint64
-	listener bool // listener says that it is a control instance.
+	listener bool            // listener says that it is a control instance.
+	led      *map[string]int // led is what it was told by Led last; nil if nothing.
 }
 
 // pending is what the next Update will tell.
@@ -331,6 +333,7 @@
 	if err := co.Send(pu.picture(now)); err != nil {
 		pu.lg.Warn("picture-not-sent", zap.String("Entry", first.Name), zap.Error(err))
 	}
+	pu.tellLed(sb)
 	return sb
 }
 
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -324,6 +324,7 @@
 	lives    [][]Entry
 	found    []outlier.Finding
 	sharers  []int
+	led      []map[string]int
 }
 
 // entry makes an entry instance and starts it.
@@ -427,6 +428,12 @@
 	en.sharers = append(en.sharers, count)
 }
 
+func (en *entry) LedChanged(groups map[string]int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.led = append(en.led, groups)
+}
+
 func (en *entry) OutliersFound(fis []outlier.Finding) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
--- a/roster/groups.go
+++ b/roster/groups.go
@@ -110,6 +110,25 @@
 	return gs
 }
 
+// Led returns for each instance that callers of a group are led to, by its name, the keys
+// of these groups, each with how many instances its callers are led to.
+func (gs Groups) Led() map[string]map[string]int {
+	counts := make(map[string]int)
+	for pl, ins := range gs.chosen {
+		counts[pl.key] += len(ins)
+	}
+	out := make(map[string]map[string]int)
+	for pl, ins := range gs.chosen {
+		for _, in := range ins {
+			if out[in.Name] == nil {
+				out[in.Name] = make(map[string]int)
+			}
+			out[in.Name][pl.key] = counts[pl.key]
+		}
+	}
+	return out
+}
+
 // Sharers returns how many entry instances share the backend servers of the group with
 // the fewest.
 func (gs Groups) Sharers() int { return gs.sharers }
