--- a/feed/invite.go
+++ b/feed/invite.go
@@ -40,37 +40,47 @@
 // Kind returns the kind of the message.
 func (Invite) Kind() peer.Kind { return kindInvite }
 
-// InviteAll tells the entry instances at the addresses that a control instance has
-// started. It returns once each was reached, inviteFor has passed or the context ends.
+// Guest is an entry instance to invite.
+type Guest struct {
+	Name    string
+	Address string // Address is where it takes invitations, as IP:port.
+}
+
+// InviteAll tells entry instances that a control instance has started, in the order in
+// which they are given. It returns once each was reached or is linked by itself, inviteFor
+// has passed or the context ends.
 //
 // When all machines lose power, an entry instance knows the seeds alone at its next
 // start, and dials them now and then. A control instance that is no seed may run long
 // before the first seed, and a dial that found a machine without power or a closed port
 // is repeated only after a pause: callers are refused meanwhile though all that is
 // needed runs. So the one who comes first says so to those whom it knew.
-func InviteAll(ctx context.Context, lc link.Config, lg *zap.Logger, iv Invite, addresses []string) {
+func InviteAll(ctx context.Context, lc link.Config, lg *zap.Logger, iv Invite, guests []Guest, linked func(name string) bool) {
 	ctx, cancel := context.WithTimeout(ctx, inviteFor)
 	defer cancel()
 	lc.Dial = min(lc.Dial, inviteDial)
 	room := make(chan struct{}, invitesAtOnce)
 	var wg sync.WaitGroup
-	for _, address := range addresses {
+	for _, gu := range guests {
+		room <- struct{}{} // The first tries keep the order.
 		wg.Go(func() {
-			if tries := invite(ctx, lc, room, iv, address); tries > 0 {
-				lg.Info("entry-invited", zap.String("Address", address), zap.Int("Tries", tries))
+			if tries := invite(ctx, lc, room, iv, gu, linked); tries > 0 {
+				lg.Info("entry-invited", zap.String("Address", gu.Address), zap.Int("Tries", tries))
 			}
 		})
 	}
 	wg.Wait()
 }
 
-// invite invites one entry instance until it has heard, and returns how many tries it
-// took; 0 if it was not reached.
-func invite(ctx context.Context, lc link.Config, room chan struct{}, iv Invite, address string) int {
+// invite invites one entry instance until it has heard or is linked, and returns how many
+// tries it took; 0 if it was not reached. It begins with room for the first try.
+func invite(ctx context.Context, lc link.Config, room chan struct{}, iv Invite, gu Guest, linked func(string) bool) int {
 	pause := inviteFirst
 	for try := 1; ; try++ {
-		room <- struct{}{}
-		heard := inviteOnce(ctx, lc, iv, address)
+		if try > 1 {
+			room <- struct{}{}
+		}
+		heard := linked(gu.Name) || inviteOnce(ctx, lc, iv, gu.Address)
 		<-room
 		if heard {
 			return try
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -288,6 +288,14 @@
 	return pu.entries(func(Entry) bool { return true })
 }
 
+// HasLink reports whether an entry instance has a link to this control instance.
+func (pu *Publisher) HasLink(name string) bool {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	_, ok := pu.live[name]
+	return ok
+}
+
 // Handle serves the link of an entry instance until it or the context ends. The
 // first message on the link is given.
 func (pu *Publisher) Handle(ctx context.Context, co *link.Conn, first Subscribe) {
--- a/roster/groups.go
+++ b/roster/groups.go
@@ -31,10 +31,7 @@
 
 // With returns what is decided after a look at the instances that are ready.
 func (gs Groups) With(now time.Time, groups []Group, ins []Instance) Groups {
-	by := make(map[string][]Instance)
-	for _, in := range ins {
-		by[in.DataCentre] = append(by[in.DataCentre], in)
-	}
+	by := byDataCentre(ins)
 	out := Groups{
 		sizes: make(map[place]Size), chosen: make(map[place][]Instance), ready: make(map[string]int),
 		seen: gs.lately(now), sharers: len(ins),
@@ -60,6 +57,14 @@
 	return out
 }
 
+func byDataCentre(ins []Instance) map[string][]Instance {
+	by := make(map[string][]Instance)
+	for _, in := range ins {
+		by[in.DataCentre] = append(by[in.DataCentre], in)
+	}
+	return by
+}
+
 // lately returns when data centres had an instance last, of those that did lately. One
 // that is away for a while keeps its part of the connections: after a loss of power of
 // all, the first data centre to be back would otherwise take those of the others.
@@ -129,6 +134,19 @@
 	return out
 }
 
+// Members returns the names of those of the instances that callers of any group would be
+// led to at the sizes of now.
+func (gs Groups) Members(ins []Instance) map[string]bool {
+	by := byDataCentre(ins)
+	out := make(map[string]bool)
+	for pl, si := range gs.sizes {
+		for _, in := range Choose(pl.key, by[pl.dataCentre], si.members) {
+			out[in.Name] = true
+		}
+	}
+	return out
+}
+
 // Sharers returns how many entry instances share the backend servers of the group with
 // the fewest.
 func (gs Groups) Sharers() int { return gs.sharers }
--- a/tier/memory.go
+++ b/tier/memory.go
@@ -4,12 +4,9 @@
 	"context"
 	"errors"
 	"io/fs"
-	"maps"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,7 +22,7 @@
 	// serversName, entriesName and chosenName are names in the data folder; what is
 	// written takes its name only once it is whole.
 	serversName     = "servers"
-	entriesName     = "entries"
+	entriesName     = "entry-instances"
 	chosenName      = "chosen"
 	temporarySuffix = ".new"
 	// memoryPeriod is how often a change is looked for.
@@ -72,11 +69,16 @@
 	}
 }
 
-// entries returns the noted addresses at which entry instances take invitations.
-func (me memory) entries() []string {
-	var ads []string
-	me.read(entriesName, &ads)
-	return ads
+// entries returns the noted entry instances.
+func (me memory) entries() []notedEntry {
+	var nes []notedEntry
+	me.read(entriesName, &nes)
+	return nes
+}
+
+// guests returns the noted entry instances in the order in which they are invited.
+func (me memory) guests(dataCentre string) []feed.Guest {
+	return guests(me.entries(), me.ro.decided.Load().chosen, dataCentre)
 }
 
 // read reads a note and reports whether there is one that can be read.
@@ -101,10 +103,7 @@
 	defer su.Stop()
 	var noted [2]uint64
 	chosen := me.ro.note()
-	el := entryList{seen: make(map[string]time.Time)}
-	for _, address := range me.entries() {
-		el.seen[address] = me.ts.Now()
-	}
+	el := newEntryList(me.ts.Now(), me.entries())
 	for {
 		select {
 		case <-ctx.Done():
@@ -120,7 +119,7 @@
 			chosen = now
 		}
 		if el.look(me.ts.Now(), me.pu.Linked(), linkPort) {
-			me.write(entriesName, el.addresses())
+			me.write(entriesName, el.noted())
 		}
 	}
 }
@@ -149,36 +148,6 @@
 	return own, [2]uint64{ownChanges, otherChanges}
 }
 
-// entryList is the entry instances that are noted, by the address for invitations, with
-// the time when they last had a link.
-type entryList struct {
-	seen map[string]time.Time
-}
-
-// look takes over who has a link now, and reports whether the list has changed.
-func (el entryList) look(now time.Time, linked []feed.Entry, port int) (changed bool) {
-	for _, en := range linked {
-		host, _, err := net.SplitHostPort(en.Address)
-		if err != nil {
-			continue
-		}
-		address := net.JoinHostPort(host, strconv.Itoa(port))
-		if _, ok := el.seen[address]; !ok {
-			changed = true
-		}
-		el.seen[address] = now
-	}
-	for address, at := range el.seen {
-		if now.Sub(at) >= entryKeep {
-			delete(el.seen, address)
-			changed = true
-		}
-	}
-	return changed
-}
-
-func (el entryList) addresses() []string { return slices.Sorted(maps.Keys(el.seen)) }
-
 // write replaces a note. It is synced before it takes its name, so that a power loss
 // leaves this one or the one before.
 func (me memory) write(name string, value any) {
