--- a/fleet/disk.go
+++ b/fleet/disk.go
@@ -18,10 +18,9 @@
 
 // The names in a data folder.
 const (
-	logName        = "log"         // logName is the folder of package wal.
-	doubtfulName   = "log.unused"  // doubtfulName is a log that must not be used any more.
-	firstName      = "first-start" // firstName marks a disk that took part in the first start.
-	firstTemporary = "first-start.new"
+	logName      = "log"         // logName is the folder of package wal.
+	doubtfulName = "log.unused"  // doubtfulName is a log that must not be used any more.
+	firstName    = "first-start" // firstName marks a disk that took part in the first start.
 )
 
 // Pauses before a disk that failed is opened again.
@@ -111,25 +110,7 @@
 	if err != nil {
 		return err
 	}
-	return th.replaceFile(firstName, firstTemporary, data)
-}
-
-// replaceFile gives a file in the data folder new content, by way of a temporary
-// file that is synced before it takes the name. After a power loss at any point the
-// file holds the old content or the new.
-func (th *thread) replaceFile(name, temporary string, data []byte) error {
-	fi, err := th.nd.fsys.Create(th.path(temporary))
-	if err != nil {
-		return err
-	}
-	_, err = fi.Write(data)
-	if err := errors.Join(err, fi.Sync(), fi.Close()); err != nil {
-		return err
-	}
-	if err := th.nd.fsys.Rename(th.path(temporary), th.path(name)); err != nil {
-		return err
-	}
-	return th.nd.fsys.SyncDir(th.nd.cf.Dir)
+	return wal.Replace(th.nd.fsys, th.nd.cf.Dir, firstName, data)
 }
 
 // marked returns the seeds of the first start, or nil if the disk is not marked.
--- a/fleet/note.go
+++ b/fleet/note.go
@@ -6,14 +6,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
-)
 
-// The names of the note in a data folder.
-const (
-	noteName      = "document"
-	noteTemporary = "document.new"
+	"balsamwinch.example/wal"
 )
 
+// noteName is the name of the note in a data folder.
+const noteName = "document"
+
 // note keeps a committed document beside the log.
 //
 // After all instances lost power, a log alone does not say how much of it was
@@ -26,7 +25,7 @@
 // The folder is synced, since a name that is lost brings back the older note. A
 // note that can't be written is no reason to stop.
 func (th *thread) note(do *document) {
-	if err := th.replaceFile(noteName, noteTemporary, mustEncode(do)); err != nil {
+	if err := wal.Replace(th.nd.fsys, th.nd.cf.Dir, noteName, mustEncode(do)); err != nil {
 		th.nd.lg.Warn("note-not-written", zap.Uint64("Version", do.Version), zap.Error(err))
 	}
 }
--- a/tier/entrylist_test.go
+++ b/tier/entrylist_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,8 +33,7 @@
 func TestGuestsInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		dir := filepath.Join(t.TempDir(), "data")
-		me := newMemory(dir)
+		me := newMemory(t.TempDir())
 		var ins []roster.Instance
 		var nes []notedEntry
 		for _, dc := range []string{"cusco", "lima"} {
--- a/tier/memory.go
+++ b/tier/memory.go
@@ -16,15 +16,14 @@
 	"balsamwinch.example/registry"
 	"balsamwinch.example/roster"
 	"balsamwinch.example/timer"
+	"balsamwinch.example/wal"
 )
 
 const (
-	// serversName, entriesName and chosenName are names in the data folder; what is
-	// written takes its name only once it is whole.
-	serversName     = "servers"
-	entriesName     = "entry-instances"
-	chosenName      = "chosen"
-	temporarySuffix = ".new"
+	// serversName, entriesName and chosenName are names in the data folder.
+	serversName = "servers"
+	entriesName = "entry-instances"
+	chosenName  = "chosen"
 	// memoryPeriod is how often a change is looked for.
 	memoryPeriod = 200 * time.Millisecond
 	// memoryKeep is how many announcements a backend server may miss after a start
@@ -101,6 +100,9 @@
 func (me memory) serve(ctx context.Context, linkPort int) error {
 	su := me.ts.Subscribe(memoryPeriod)
 	defer su.Stop()
+	if err := wal.System().MakeDir(me.dir); err != nil {
+		me.lg.Warn("note-not-written", zap.String("Name", me.dir), zap.Error(err))
+	}
 	var noted [2]uint64
 	chosen := me.ro.note()
 	el := newEntryList(me.ts.Now(), me.entries())
@@ -148,29 +150,13 @@
 	return own, [2]uint64{ownChanges, otherChanges}
 }
 
-// write replaces a note. It is synced before it takes its name, so that a power loss
-// leaves this one or the one before.
+// write replaces a note. A power loss leaves this one or the one before.
 func (me memory) write(name string, value any) {
-	if err := me.replace(filepath.Join(me.dir, name), value); err != nil {
-		me.lg.Warn("note-not-written", zap.String("Name", name), zap.Error(err))
-	}
-}
-
-func (me memory) replace(path string, value any) error {
 	data, err := cbor.Marshal(value)
-	if err != nil {
-		return err
-	}
-	if err := os.MkdirAll(me.dir, 0o755); err != nil {
-		return err
+	if err == nil {
+		err = wal.Replace(wal.System(), me.dir, name, data)
 	}
-	fi, err := os.Create(path + temporarySuffix)
 	if err != nil {
-		return err
-	}
-	_, err = fi.Write(data)
-	if err := errors.Join(err, fi.Sync(), fi.Close()); err != nil {
-		return err
+		me.lg.Warn("note-not-written", zap.String("Name", name), zap.Error(err))
 	}
-	return os.Rename(path+temporarySuffix, path)
 }
