--- a/budget/budget.go
+++ b/budget/budget.go
@@ -4,9 +4,6 @@
 // instances stays within a bound though they don't talk for each request: every
 // instance keeps to its own requests and to an equal part of the slack. The
 // package decides; it sends nothing and reads no clock.
-//
-// Where the requests for some services come to a part of the entry instances only, their
-// slack is divided among these, and the others have none of it (SetMembers).
 package budget
 
 import (
@@ -40,7 +37,7 @@
 
 // Budget counts requests and extra arrivals. In any span of one window that
 // ends with an extra arrival, the extra arrivals are at most Share x (Ratio x
-// requests of this instance + Slack / those who share it). It is safe for many
+// requests of this instance + Slack / entry instances). It is safe for many
 // goroutines, and allocates only at the first request for a service.
 type Budget struct {
 	cf    Config
@@ -51,9 +48,7 @@
 	latest   time.Duration // latest is the time of the newest call, since start.
 	swept    time.Duration // swept is when unused services were last looked for.
 	services map[string]*service
-	everyone sharing             // everyone is how the slack of services without a group is shared.
-	groups   map[string]*sharing // groups is how that of the others is, by their group.
-	groupOf  map[string]string   // groupOf holds the group of each service that has one.
+	entries  entries
 }
 
 // New returns a budget of a process that starts now. Its slack grows evenly
@@ -68,51 +63,16 @@
 		cf.Share = 1
 	}
 	width := (cf.Window + bucketCount - 1) / bucketCount
-	return &Budget{
-		cf: cf, width: width, start: now, services: make(map[string]*service),
-		everyone: sharing{member: true}, groups: make(map[string]*sharing),
-	}
+	return &Budget{cf: cf, width: width, start: now, services: make(map[string]*service)}
 }
 
-// SetEntries says how many entry instances share the slack of services that have no
-// group. It is divided by the highest count of the last two windows: an instance that is
-// out of sight may still spend its part.
+// SetEntries says how many entry instances share the slack. It is divided by
+// the highest count of the last two windows: an instance that is out of sight
+// may still spend its part.
 func (bu *Budget) SetEntries(now time.Time, count int) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	bu.everyone.entries.set(bu.bucket(now), count)
-}
-
-// SetGroups names the groups of services, by service. A service that is named no more
-// keeps its group while its requests count. The map must not be changed afterwards.
-func (bu *Budget) SetGroups(groups map[string]string) {
-	bu.mu.Lock()
-	defer bu.mu.Unlock()
-	bu.groupOf = groups
-	for name, se := range bu.services {
-		if group, ok := groups[name]; ok {
-			se.group = group
-		}
-	}
-}
-
-// SetMembers says for each group of which this instance is a member how many members
-// share its slack. It has no slack of other groups.
-func (bu *Budget) SetMembers(now time.Time, members map[string]int) {
-	bu.mu.Lock()
-	defer bu.mu.Unlock()
-	bucket := bu.bucket(now)
-	for group, count := range members {
-		if bu.groups[group] == nil {
-			bu.groups[group] = &sharing{}
-		}
-		bu.groups[group].join(bucket, count)
-	}
-	for group, sh := range bu.groups {
-		if _, ok := members[group]; !ok {
-			sh.member = false
-		}
-	}
+	bu.entries.set(bu.bucket(now), count)
 }
 
 // Arrival counts a request for the service. Its first arrival at a backend
@@ -161,14 +121,12 @@
 
 // bound returns how many extra arrivals the window that ends now may hold.
 func (bu *Budget) bound(se *service) float64 {
-	part := bu.everyone.part(se.newest)
-	if se.group != "" {
-		part = 0
-		if sh := bu.groups[se.group]; sh != nil {
-			part = sh.part(se.newest)
-		}
+	slack := 0.0
+	if count := bu.entries.highest(se.newest); count > 0 {
+		grown := min(1, float64(bu.latest)/float64(bu.cf.Window))
+		slack = grown * float64(bu.cf.Slack) / float64(count)
 	}
-	return bu.cf.Share * (bu.cf.Ratio*float64(se.requests) + part*float64(bu.cf.Slack))
+	return bu.cf.Share * (bu.cf.Ratio*float64(se.requests) + slack)
 }
 
 // bucket returns the index of the bucket of now. Time never goes back: callers
@@ -184,7 +142,7 @@
 	se := bu.services[name]
 	if se == nil {
 		bu.sweep(bucket)
-		se = &service{newest: bucket, group: bu.groupOf[name]}
+		se = &service{newest: bucket}
 		bu.services[name] = se
 	}
 	se.advance(bucket)
--- a/budget/ring.go
+++ b/budget/ring.go
@@ -8,7 +8,6 @@
 	newest   int64 // newest is the index of the newest bucket.
 	requests int   // requests are those of the newest bucketCount buckets.
 	extras   int   // extras are those of all buckets of the ring.
-	group    string
 	ring     [ringLength]counts
 }
 
@@ -24,7 +23,7 @@
 // advance makes a bucket the newest one.
 func (se *service) advance(bucket int64) {
 	if bucket-se.newest >= ringLength {
-		*se = service{newest: bucket, group: se.group}
+		*se = service{newest: bucket}
 		return
 	}
 	for se.newest < bucket {
@@ -56,3 +55,51 @@
 		se.extras--
 	}
 }
+
+const (
+	// spanBuckets is how many buckets one remembered span of entry counts has.
+	spanBuckets = bucketCount / 4
+	// spanCount covers two windows and the span that is partly in them.
+	spanCount = 2*bucketCount/spanBuckets + 1
+)
+
+// entries remembers the highest count of entry instances in each of the spans
+// that may lie in the last two windows.
+type entries struct {
+	count   int   // count is the newest one.
+	newest  int64 // newest is the index of the newest span.
+	highs   [spanCount]int
+	started bool
+}
+
+func (en *entries) set(bucket int64, count int) {
+	en.advance(bucket / spanBuckets)
+	en.count = max(0, count)
+	high := &en.highs[en.newest%spanCount]
+	*high = max(*high, en.count)
+}
+
+// highest returns the highest count of the last two windows; zero if none was
+// ever set.
+func (en *entries) highest(bucket int64) int {
+	en.advance(bucket / spanBuckets)
+	high := 0
+	for _, count := range en.highs {
+		high = max(high, count)
+	}
+	return high
+}
+
+// advance makes a span the newest one. The count in force at its beginning
+// belongs to it.
+func (en *entries) advance(span int64) {
+	if !en.started {
+		en.started, en.newest = true, span
+		return
+	}
+	for steps := 0; en.newest < span && steps < spanCount; steps++ {
+		en.newest++
+		en.highs[en.newest%spanCount] = en.count
+	}
+	en.newest = max(en.newest, span)
+}
--- a/feed/message.go
+++ b/feed/message.go
@@ -151,9 +151,6 @@
 	// Sharers is how many entry instances callers are led to who share backend servers; 0
 	// if unchanged, or unknown.
 	Sharers int `cbor:"6,keyasint,omitempty"`
-	// Led holds the groups whose callers are led to the entry instance that this is sent
-	// to, each with how many instances these callers are led to; nil if unchanged.
-	Led *map[string]int `cbor:"7,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -63,7 +63,6 @@
 	live        map[string]Entry   // live holds what the newest link of each entry instance said.
 	loads       map[string]float64 // loads holds what entry instances say that they carry, by name.
 	sharers     int
-	led         map[string]map[string]int // led is what SetLed was called with last; nil before.
 	pending     pending
 	pictured    *pictured // pictured is the last picture sent, until the next update.
 	armed       bool      // armed says that a flush is due.
@@ -79,8 +78,7 @@
 	co       *link.Conn
 	en       Entry
 	number   uint64
-	listener bool            // listener says that it is a control instance.
-	led      *map[string]int // led is what it was told by Led last; nil if nothing.
+	listener bool // listener says that it is a control instance.
 }
 
 // pictured is a picture as it was sent, and when it was made.
@@ -348,7 +346,6 @@
 	if err := pu.sendPicture(now, co); err != nil {
 		pu.lg.Warn("picture-not-sent", zap.String("Entry", first.Name), zap.Error(err))
 	}
-	pu.tellLed(sb)
 	return sb
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -41,10 +41,9 @@
 	lostAt  time.Time
 	members []Member
 	entries map[string]Entry
-	sharers int             // sharers is how many entry instances it says share backend servers.
-	led     *map[string]int // led is what it said last of the groups whose callers are led here; nil before.
-	version uint64          // version is the newest configuration that it announced.
-	order   uint64          // order is lower the earlier it announced that version.
+	sharers int    // sharers is how many entry instances it says share backend servers.
+	version uint64 // version is the newest configuration that it announced.
+	order   uint64 // order is lower the earlier it announced that version.
 	// unwanted is since when neither seeds nor members name it; zero if they do.
 	unwanted time.Time
 }
@@ -230,7 +229,7 @@
 	}
 	su.lg.Info("control-link-up", fields...)
 	so.failed = false
-	so.name, so.members, so.sharers, so.led = pi.Name, pi.Members, pi.Sharers, nil
+	so.name, so.members, so.sharers = pi.Name, pi.Members, pi.Sharers
 	so.near = pi.DataCentre != "" && pi.DataCentre == su.cf.Self.DataCentre
 	so.entries = make(map[string]Entry, len(pi.Entries))
 	for _, en := range pi.Entries {
@@ -261,10 +260,6 @@
 		so.sharers = up.Sharers
 		su.dirty = true
 	}
-	if up.Led != nil {
-		so.led = up.Led
-		su.dirty = true
-	}
 	su.announced(so, up.Version)
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -52,9 +51,6 @@
 	// SharersChanged gives how many entry instances callers are led to who share backend
 	// servers.
 	SharersChanged(count int)
-	// LedChanged gives the groups whose callers are led to this entry instance, each with
-	// how many instances they are led to. The map is never changed later.
-	LedChanged(groups map[string]int)
 	// OutliersFound gives what all entry instances together saw of backend servers.
 	OutliersFound(fis []outlier.Finding)
 }
@@ -100,10 +96,9 @@
 	servers  map[string][]registry.Server // servers is what the observer was told last.
 	told     uint64                       // told is the version of the union then.
 	toldAt   time.Time
-	entries  []Entry        // entries is what the observer was told last.
-	sharers  int            // sharers is likewise.
-	led      map[string]int // led is likewise, nil before.
-	dirty    bool           // dirty says that the entry instances may have changed.
+	entries  []Entry // entries is what the observer was told last.
+	sharers  int     // sharers is likewise.
+	dirty    bool    // dirty says that the entry instances may have changed.
 	fetch    fetch
 	heard    map[string]heard // heard holds the findings of the last outlier.Lifetime by id.
 	data     []byte           // data is the configuration of version held, which the next one is told against.
@@ -263,10 +258,6 @@
 		su.sharers = count
 		su.ob.SharersChanged(count)
 	}
-	if led, said := su.ledBy(); said && (su.led == nil || !maps.Equal(led, su.led)) {
-		su.led = led
-		su.ob.LedChanged(led)
-	}
 }
 
 // tellServers tells the observer of the backend servers if they changed.
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -35,8 +35,6 @@
 
 func (*eye) SharersChanged(int) {}
 
-func (*eye) LedChanged(map[string]int) {}
-
 func (*eye) OutliersFound([]outlier.Finding) {}
 
 // await takes what an observer is told until it is what is wanted.
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -324,7 +324,6 @@
 	lives    [][]Entry
 	found    []outlier.Finding
 	sharers  []int
-	led      []map[string]int
 }
 
 // entry makes an entry instance and starts it.
@@ -428,12 +427,6 @@
 	en.sharers = append(en.sharers, count)
 }
 
-func (en *entry) LedChanged(groups map[string]int) {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	en.led = append(en.led, groups)
-}
-
 func (en *entry) OutliersFound(fis []outlier.Finding) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,11 +108,8 @@
 // Table returns the table in force, or nil.
 func (sv *Server) Table() *route.Table { return sv.tb.Load() }
 
-// SetTable puts a table in force. Requests under way end on theirs. groups names the
-// group of each service whose requests come to a part of the entry instances only; it
-// must not be changed afterwards.
-func (sv *Server) SetTable(tb *route.Table, groups map[string]string) {
-	sv.bu.SetGroups(groups)
+// SetTable puts a table in force. Requests under way end on theirs.
+func (sv *Server) SetTable(tb *route.Table) {
 	sv.mu.Lock()
 	sv.expect(tb)
 	sv.mu.Unlock()
@@ -151,10 +148,6 @@
 	sv.share()
 }
 
-// SetLed takes over the groups whose callers are led to this entry instance, each with
-// how many instances they are led to.
-func (sv *Server) SetLed(groups map[string]int) { sv.bu.SetMembers(sv.ts.Now(), groups) }
-
 // Refuse makes the gateway answer every further request at once with "not run".
 func (sv *Server) Refuse() { sv.refuse.Store(true) }
 
--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -152,7 +152,7 @@
 	}
 	tb, err := route.New(7, []route.Route{ro}, ses, route.Limits{})
 	qt.Assert(lo.t, err, qt.IsNil)
-	lo.sv.SetTable(tb, nil)
+	lo.sv.SetTable(tb)
 }
 
 func targets(ro route.Route) []string {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -154,7 +154,7 @@
 	rg.tables = append(rg.tables, tb)
 	rg.mu.Unlock()
 	qt.Assert(rg.tb, err, qt.IsNil)
-	rg.gw.SetTable(tb, nil)
+	rg.gw.SetTable(tb)
 }
 
 func namesOf(ro *route.Route) []string {
--- a/roster/groups.go
+++ b/roster/groups.go
@@ -18,7 +18,6 @@
 type Groups struct {
 	sizes   map[place]Size
 	chosen  map[place][]Instance
-	most    map[place][]Instance // most holds those that are chosen when as many are as may be.
 	ready   map[string]int       // ready counts the instances by data centre.
 	seen    map[string]time.Time // seen is when a data centre had an instance last.
 	sharers int
@@ -34,7 +33,7 @@
 func (gs Groups) With(now time.Time, groups []Group, ins []Instance) Groups {
 	by := byDataCentre(ins)
 	out := Groups{
-		sizes: make(map[place]Size), chosen: make(map[place][]Instance), most: make(map[place][]Instance), ready: make(map[string]int),
+		sizes: make(map[place]Size), chosen: make(map[place][]Instance), ready: make(map[string]int),
 		seen: gs.lately(now), sharers: len(ins),
 	}
 	for centre, here := range by {
@@ -49,7 +48,6 @@
 			if here := by[centre]; len(here) > 0 {
 				si = si.With(now, bo, total(here))
 				out.chosen[pl] = Choose(gr.Key, here, si.Members())
-				out.most[pl] = Choose(gr.Key, here, bo.Most)
 			}
 			out.sizes[pl] = si
 			count += len(out.chosen[pl])
@@ -117,30 +115,6 @@
 	return gs
 }
 
-// Led returns for each instance that callers of a group may be led to, by its name, the
-// keys of these groups, each with how many instances its callers may be led to.
-//
-// These are the ones that are chosen when as many are as may be. Whoever is chosen at any
-// time is among them, so that what is divided by this number need not be divided anew as
-// the load moves: with the number of those chosen now, 93 of 95 in a burst and 70 before,
-// one query in four came to an instance that had just been chosen and had no part yet.
-func (gs Groups) Led() map[string]map[string]int {
-	counts := make(map[string]int)
-	for pl, ins := range gs.most {
-		counts[pl.key] += len(ins)
-	}
-	out := make(map[string]map[string]int)
-	for pl, ins := range gs.most {
-		for _, in := range ins {
-			if out[in.Name] == nil {
-				out[in.Name] = make(map[string]int)
-			}
-			out[in.Name][pl.key] = counts[pl.key]
-		}
-	}
-	return out
-}
-
 // Members returns the names of those of the instances that callers of any group would be
 // led to at the sizes of now.
 func (gs Groups) Members(ins []Instance) map[string]bool {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -153,17 +153,6 @@
 	c.Assert(count("plain", "a"), qt.Equals, 0)
 	c.Assert(count("unknown", "a"), qt.Equals, 0)
 	c.Assert(gs.Sharers(), qt.Equals, 17+17+2)
-	led := gs.Led()
-	c.Assert(led, qt.HasLen, 37+41+2)
-	wide := 0
-	for _, keys := range led {
-		c.Check(keys["plain"], qt.Equals, 37+41+2)
-		if count, ok := keys["wide"]; ok {
-			c.Check(count, qt.Equals, 32+32+2)
-			wide++
-		}
-	}
-	c.Assert(wide, qt.Equals, 32+32+2)
 	look(0.6)
 	c.Assert([]int{count("wide", "a"), count("wide", "b")}, qt.DeepEquals, []int{23, 25})
 }
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -129,7 +129,7 @@
 		return &result.Error{Code: result.Invalid, Op: "read configuration", Err: err}
 	}
 	en.su.NameServices(serviceNames(tb))
-	en.gw.SetTable(tb, groupsOf(tb).services(tb))
+	en.gw.SetTable(tb)
 	en.door.SetLimits(tb.Limits())
 	en.st.ready()
 	en.lg.Info("configuration-in-force", zap.Uint64("Version", version), zap.Int("Routes", len(tb.Routes())), zap.Int("Services", len(tb.Services())))
@@ -156,12 +156,6 @@
 	en.gw.SetSharers(count)
 }
 
-// LedChanged takes over the groups whose callers are led to this instance.
-func (en *entry) LedChanged(groups map[string]int) {
-	en.lg.Info("led-changed", zap.Any("Groups", groups))
-	en.gw.SetLed(groups)
-}
-
 // OutliersFound takes over what all entry instances together saw of backend servers.
 func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
 
--- a/tier/others.go
+++ b/tier/others.go
@@ -49,8 +49,5 @@
 // SharersChanged ignores what entry instances are told.
 func (*others) SharersChanged(int) {}
 
-// LedChanged ignores what entry instances are told.
-func (*others) LedChanged(map[string]int) {}
-
 // OutliersFound ignores what entry instances are told.
 func (*others) OutliersFound([]outlier.Finding) {}
--- a/tier/roster.go
+++ b/tier/roster.go
@@ -95,7 +95,6 @@
 	ins := ro.instances()
 	de.chosen = de.chosen.With(now, de.list, ins)
 	ro.decided.Store(&de)
-	ro.pu.SetLed(de.chosen.Led())
 	if sharers := de.chosen.Sharers(); sharers != was {
 		ro.lg.Info("entry-instances-chosen", zap.Int("Sharers", sharers), zap.Int("Before", was), zap.Int("Ready", len(ins)))
 		ro.pu.SetSharers(sharers)
@@ -176,23 +175,6 @@
 	return slices.SortedFunc(maps.Values(gs), func(a, b roster.Group) int { return strings.Compare(a.Key, b.Key) })
 }
 
-// services returns the key of the group of each service that a merged route names.
-func (gs groups) services(tb *route.Table) map[string]string {
-	out := make(map[string]string)
-	for _, ro := range tb.Merged() {
-		gr, ok := gs[ro.Shards[0]]
-		if !ok {
-			continue
-		}
-		for _, name := range ro.Shards {
-			if key, known := out[name]; !known || gr.Key < key {
-				out[name] = gr.Key
-			}
-		}
-	}
-	return out
-}
-
 // of returns the group of a host, and false if its callers may go to all. Callers of one
 // host can't be told apart, so one merged route decides for the others.
 func (gs groups) of(tb *route.Table, host string) (roster.Group, bool) {
--- a/tier/roster_test.go
+++ b/tier/roster_test.go
@@ -94,7 +94,6 @@
 		tb := wide(service)
 		gs := groupsOf(tb)
 		c.Assert(gs.list(), qt.DeepEquals, want)
-		c.Assert(gs.services(tb), qt.DeepEquals, map[string]string{service: "a-two.example"})
 		for _, host := range []string{"one.example", "A-two.example:80"} {
 			gr, ok := gs.of(tb, host)
 			c.Assert(ok, qt.IsTrue)
