--- a/feed/invite.go
+++ b/feed/invite.go
@@ -40,8 +40,8 @@
 // Kind returns the kind of the message.
 func (Invite) Kind() peer.Kind { return kindInvite }
 
-// Guest is an entry instance to invite.
-type Guest struct {
+// Invitee is an entry instance to invite.
+type Invitee struct {
 	Name    string
 	Address string // Address is where it takes invitations, as IP:port.
 }
@@ -55,17 +55,17 @@
 // before the first seed, and a dial that found a machine without power or a closed port
 // is repeated only after a pause: callers are refused meanwhile though all that is
 // needed runs. So the one who comes first says so to those whom it knew.
-func InviteAll(ctx context.Context, lc link.Config, lg *zap.Logger, iv Invite, guests []Guest, linked func(name string) bool) {
+func InviteAll(ctx context.Context, lc link.Config, lg *zap.Logger, iv Invite, invitees []Invitee, linked func(name string) bool) {
 	ctx, cancel := context.WithTimeout(ctx, inviteFor)
 	defer cancel()
 	lc.Dial = min(lc.Dial, inviteDial)
 	room := make(chan struct{}, invitesAtOnce)
 	var wg sync.WaitGroup
-	for _, gu := range guests {
+	for _, ie := range invitees {
 		room <- struct{}{} // The first tries keep the order.
 		wg.Go(func() {
-			if tries := invite(ctx, lc, room, iv, gu, linked); tries > 0 {
-				lg.Info("entry-invited", zap.String("Address", gu.Address), zap.Int("Tries", tries))
+			if tries := invite(ctx, lc, room, iv, ie, linked); tries > 0 {
+				lg.Info("entry-invited", zap.String("Address", ie.Address), zap.Int("Tries", tries))
 			}
 		})
 	}
@@ -74,13 +74,13 @@
 
 // invite invites one entry instance until it has heard or is linked, and returns how many
 // tries it took; 0 if it was not reached. It begins with room for the first try.
-func invite(ctx context.Context, lc link.Config, room chan struct{}, iv Invite, gu Guest, linked func(string) bool) int {
+func invite(ctx context.Context, lc link.Config, room chan struct{}, iv Invite, ie Invitee, linked func(string) bool) int {
 	pause := inviteFirst
 	for try := 1; ; try++ {
 		if try > 1 {
 			room <- struct{}{}
 		}
-		heard := linked(gu.Name) || inviteOnce(ctx, lc, iv, gu.Address)
+		heard := linked(ie.Name) || inviteOnce(ctx, lc, iv, ie.Address)
 		<-room
 		if heard {
 			return try
--- a/feed/invite_test.go
+++ b/feed/invite_test.go
@@ -50,7 +50,7 @@
 
 		lc := wo.config()
 		lc.Connect = wo.door(en, func() bool { return true })
-		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "other", Address: other.member.Address}, []Guest{{"entry", "entry:7740"}}, unlinked)
+		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "other", Address: other.member.Address}, []Invitee{{"entry", "entry:7740"}}, unlinked)
 		wo.after(soon)
 		c.Assert(en.su.Connected(), qt.Equals, 1)
 		c.Assert(en.versions, qt.DeepEquals, []uint64{3})
@@ -76,7 +76,7 @@
 		second.start()
 		lc := wo.config()
 		lc.Connect = wo.door(en, func() bool { return true })
-		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "second", Address: second.member.Address}, []Guest{{"entry", "entry:7740"}}, unlinked)
+		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "second", Address: second.member.Address}, []Invitee{{"entry", "entry:7740"}}, unlinked)
 		wo.after(2 * time.Millisecond)
 		c.Assert(en.su.Connected(), qt.Equals, 2)
 	})
@@ -94,7 +94,7 @@
 			tries.Add(1)
 			return !time.Now().Before(back)
 		})
-		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, []Guest{{"entry", "entry:7740"}}, unlinked)
+		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, []Invitee{{"entry", "entry:7740"}}, unlinked)
 		c.Assert(time.Since(back) <= inviteMost, qt.IsTrue)
 		c.Assert(tries.Load() < 12, qt.IsTrue, qt.Commentf("%d tries", tries.Load()))
 
@@ -103,7 +103,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, []Guest{{"dark", "dark:7740"}, {"gone", "gone:7740"}}, unlinked)
+		InviteAll(wo.ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, []Invitee{{"dark", "dark:7740"}, {"gone", "gone:7740"}}, unlinked)
 		c.Assert(time.Since(start) < inviteFor+inviteDial, qt.IsTrue)
 	})
 }
@@ -115,9 +115,9 @@
 func TestInvitedInOrder(t *testing.T) {
 	play(t, func(c *qt.C, wo *world) {
 		const count = 3 * invitesAtOnce
-		var guests []Guest
+		var invitees []Invitee
 		for ix := range count {
-			guests = append(guests, Guest{Name: fmt.Sprint(ix), Address: fmt.Sprint(ix)})
+			invitees = append(invitees, Invitee{Name: fmt.Sprint(ix), Address: fmt.Sprint(ix)})
 		}
 		var mu sync.Mutex
 		var dialed []string
@@ -130,7 +130,7 @@
 		}
 		ctx, cancel := context.WithTimeout(wo.ctx, inviteFirst/2)
 		defer cancel()
-		InviteAll(ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, guests, func(name string) bool { return name == "5" })
+		InviteAll(ctx, lc, wo.lg, Invite{Name: "one", Address: "one:1"}, invitees, func(name string) bool { return name == "5" })
 		c.Assert(dialed, qt.HasLen, count-1)
 		for place, address := range dialed {
 			number, err := strconv.Atoi(address)
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -64,10 +64,10 @@
 	loads       map[string]float64 // loads holds what entry instances say that they carry, by name.
 	sharers     int
 	pending     pending
-	pictured    *pictured // pictured is the last picture sent, until the next update.
-	armed       bool      // armed says that a flush is due.
-	flushed     time.Time // flushed is the time of the last update.
-	changes     uint64    // changes counts the changes of the book.
+	encoded     *encodedPicture // encoded is the last picture sent, until the next update.
+	armed       bool            // armed says that a flush is due.
+	flushed     time.Time       // flushed is the time of the last update.
+	changes     uint64          // changes counts the changes of the book.
 
 	documents documents
 	outliers  outliers
@@ -81,8 +81,8 @@
 	listener bool // listener says that it is a control instance.
 }
 
-// pictured is a picture as it was sent, and when it was made.
-type pictured struct {
+// encodedPicture is a picture as it was sent, and when it was made.
+type encodedPicture struct {
 	pa link.Packed
 	at time.Time
 }
@@ -357,14 +357,14 @@
 // 191 that connect at once to one that hears 126 backend servers, 26 to 35 ms of a core
 // then, 2 to 3 ms with the same picture (BenchmarkJoins, beside a busy machine).
 func (pu *Publisher) sendPicture(now time.Time, co *link.Conn) error {
-	if pu.pictured == nil || now.Sub(pu.pictured.at) >= batchSpacing {
+	if pu.encoded == nil || now.Sub(pu.encoded.at) >= batchSpacing {
 		pa, err := co.Pack(pu.picture(now))
 		if err != nil {
 			return err
 		}
-		pu.pictured = &pictured{pa: pa, at: now}
+		pu.encoded = &encodedPicture{pa: pa, at: now}
 	}
-	return co.SendPacked(pu.pictured.pa)
+	return co.SendPacked(pu.encoded.pa)
 }
 
 func (pu *Publisher) picture(now time.Time) Picture {
@@ -470,7 +470,7 @@
 	defer pu.mu.Unlock()
 	pu.armed, pu.flushed = false, pu.ts.Now()
 	up := pu.update()
-	pu.pending, pu.pictured = newPending(), nil
+	pu.pending, pu.encoded = newPending(), nil
 	pu.tellAll(up)
 }
 
--- a/roster/groups.go
+++ b/roster/groups.go
@@ -57,6 +57,7 @@
 	return out
 }
 
+// byDataCentre divides instances by their data centre.
 func byDataCentre(ins []Instance) map[string][]Instance {
 	by := make(map[string][]Instance)
 	for _, in := range ins {
--- a/tier/control.go
+++ b/tier/control.go
@@ -80,11 +80,11 @@
 	su := feed.NewSubscriber(feed.SubscriberConfig{
 		Self: feed.Entry{Name: se.Name, DataCentre: se.DataCentre}, Seeds: sh.linkSeeds, Link: lc, Hold: serverHold, Own: se.LinkAddress(),
 	}, me.ts, me.lg, me.ot)
-	guests := me.guests(se.DataCentre)
+	invitees := me.invitees(se.DataCentre)
 	sp.Add(service{"others", su.Serve})
 	sp.Add(service{"memory", func(ctx context.Context) error { return me.serve(ctx, se.LinkPort) }})
 	sp.Add(service{"invite", func(ctx context.Context) error {
-		feed.InviteAll(ctx, lc, me.lg, feed.Invite{Name: se.Name, Address: se.LinkAddress()}, guests, me.pu.HasLink)
+		feed.InviteAll(ctx, lc, me.lg, feed.Invite{Name: se.Name, Address: se.LinkAddress()}, invitees, me.pu.HasLink)
 		return suture.ErrDoNotRestart
 	}})
 }
--- a/tier/entrylist.go
+++ b/tier/entrylist.go
@@ -66,12 +66,12 @@
 	return out
 }
 
-// guests returns the noted entry instances in the order in which a control instance of a
+// invitees returns the noted entry instances in the order in which a control instance of a
 // data centre invites them: those that callers are led to first, as the sizes of before
 // say, of its own data centre before others. An invitation, the link and the picture that
 // follow cost a control instance at 0.24 of a core some 3 ms; in the order of addresses,
 // those of the last of five data centres served 0.4 s after those of the first.
-func guests(nes []notedEntry, gs roster.Groups, dataCentre string) []feed.Guest {
+func invitees(nes []notedEntry, gs roster.Groups, dataCentre string) []feed.Invitee {
 	ins := make([]roster.Instance, len(nes))
 	for ix, ne := range nes {
 		ins[ix] = roster.Instance{Name: ne.Name, DataCentre: ne.DataCentre, Address: ne.Address}
@@ -88,9 +88,9 @@
 		return out
 	}
 	slices.SortStableFunc(ins, func(a, b roster.Instance) int { return cmp.Compare(rank(a), rank(b)) })
-	out := make([]feed.Guest, len(ins))
+	out := make([]feed.Invitee, len(ins))
 	for ix, in := range ins {
-		out[ix] = feed.Guest{Name: in.Name, Address: in.Address}
+		out[ix] = feed.Invitee{Name: in.Name, Address: in.Address}
 	}
 	return out
 }
--- a/tier/entrylist_test.go
+++ b/tier/entrylist_test.go
@@ -30,7 +30,7 @@
 // The power of all is lost while callers are led to two of six entry instances in each of
 // two data centres. A control instance that comes back must invite these first, those of
 // its own data centre before the others: callers come to them alone.
-func TestGuestsInOrder(t *testing.T) {
+func TestInviteesInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		me := newMemory(t.TempDir())
@@ -46,7 +46,7 @@
 		me.write(entriesName, nes)
 		me.write(chosenName, []roster.Noted{{Key: "wide", DataCentre: "cusco", Members: 2}, {Key: "wide", DataCentre: "lima", Members: 2}})
 		me.restore(time.Second)
-		got := me.guests("lima")
+		got := me.invitees("lima")
 		c.Assert(got, qt.HasLen, 12)
 		var want []string
 		for _, here := range [][]roster.Instance{ins[6:], ins[:6]} {
@@ -57,13 +57,13 @@
 			}
 		}
 		var first []string
-		for _, gu := range got[:4] {
-			first = append(first, gu.Name)
+		for _, ie := range got[:4] {
+			first = append(first, ie.Name)
 		}
 		c.Assert(first[:2], qt.ContentEquals, want[:2])
 		c.Assert(first[2:], qt.ContentEquals, want[2:])
-		for _, gu := range got[4:8] {
-			c.Assert(gu.Name[:4], qt.Equals, "lima")
+		for _, ie := range got[4:8] {
+			c.Assert(ie.Name[:4], qt.Equals, "lima")
 		}
 	})
 }
--- a/tier/memory.go
+++ b/tier/memory.go
@@ -75,9 +75,9 @@
 	return nes
 }
 
-// guests returns the noted entry instances in the order in which they are invited.
-func (me memory) guests(dataCentre string) []feed.Guest {
-	return guests(me.entries(), me.ro.decided.Load().chosen, dataCentre)
+// invitees returns the noted entry instances in the order in which they are invited.
+func (me memory) invitees(dataCentre string) []feed.Invitee {
+	return invitees(me.entries(), me.ro.decided.Load().chosen, dataCentre)
 }
 
 // read reads a note and reports whether there is one that can be read.
@@ -101,7 +101,7 @@
 	su := me.ts.Subscribe(memoryPeriod)
 	defer su.Stop()
 	if err := wal.System().MakeDir(me.dir); err != nil {
-		me.lg.Warn("note-not-written", zap.String("Name", me.dir), zap.Error(err))
+		me.lg.Warn("folder-not-made", zap.String("Folder", me.dir), zap.Error(err))
 	}
 	var noted [2]uint64
 	chosen := me.ro.note()
