quarantine, gateway: the line of a request shows its content when servers break off under it

An operator saw backend servers end one after the other and could not tell whether always under the same request: ids are new in each attempt, and no line said anything of the content.

A digest of the content and the servers that broke off now stand in the line of each request that lost an attempt, also where another server answered. The digest is made only for such a line. No decision depends on it yet. TestLineOfContentUnderWhichServersEnd could not be written before; TestKey pins the digest, since instances of two releases must agree on it.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 	"balsamwinch.example/scatter"
@@ -151,6 +152,14 @@
 	offerPart = 5
 )
 
+// key stands for the content of the request, in whatever attempt it comes.
+func (ca *call) key() quarantine.Key {
+	return quarantine.Content{
+		Method: ca.rq.Method, Host: ca.rq.Host, URI: ca.rq.RequestURI,
+		Authorization: ca.rq.Header.Get("Authorization"), Body: ca.body,
+	}.Key()
+}
+
 // request returns what is sent to backend servers.
 func (ca *call) request() *upstream.Request {
 	return &upstream.Request{
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -26,6 +26,8 @@
 const (
 	// mostListed bounds the attempts that one line lists.
 	mostListed = 12
+	// mostBrokeOff bounds the backend servers that one line names for having broken off.
+	mostBrokeOff = 16
 	// mostErrorBytes bounds the text of an attempt's error.
 	mostErrorBytes = 120
 	// detailLate stands in the line of a whole answer that came late.
@@ -51,6 +53,22 @@
 // server then, and a line that is full of such attempts hides those that were.
 func (no *note) unsent() bool { return no.ended && no.outcome == upstream.NoConnection }
 
+// brokeOff returns the backend servers that broke off while the request was with them:
+// they got it, and their connection ended without a whole answer. So does a server that
+// ends.
+func (ca *call) brokeOff() []string {
+	if ca.cr == nil {
+		return nil
+	}
+	var out []string
+	for number := range ca.cr.notes {
+		if no := &ca.cr.notes[number]; no.ended && no.outcome == upstream.Lost {
+			out = append(out, no.server)
+		}
+	}
+	return out
+}
+
 // began notes and counts an attempt and returns its number.
 func (cr *carrier) began(now time.Time, wa scatter.Want, server string) int {
 	if cr.notes == nil {
@@ -130,6 +148,13 @@
 	oe.AddInt("Retried", ca.again)
 	oe.AddInt("Denied", ca.denied)
 	oe.AddInt("Missing", ca.missed)
+	if broke := ca.brokeOff(); len(broke) > 0 {
+		// The id is new in each attempt of a caller: the content shows which attempts
+		// are the same request, and so whether servers end under one of them.
+		oe.AddString("Content", ca.key().String())
+		oe.AddInt("BrokeOff", len(broke))
+		zap.Strings("Under", broke[:min(len(broke), mostBrokeOff)]).AddTo(oe)
+	}
 	if ca.status >= http.StatusInternalServerError {
 		oe.AddInt("Active", ca.sv.Active())
 		oe.AddInt64("NewsMillis", ca.sv.newsAge(ca.start).Milliseconds())
--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/budget"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/route"
@@ -289,6 +290,25 @@
 	})
 }
 
+// Backend servers end one after the other, and their operator wants to know whether it
+// is always under the same request. Its ids differ in each attempt: the line names the
+// content and those that broke off, also where another server has answered in the end.
+func TestLineOfContentUnderWhichServersEnd(t *testing.T) {
+	onLogged(t, func(t *testing.T, lo *logged) {
+		lo.configure(route.Route{Targets: plain(), Kind: route.Repeatable, MaxAttempts: 2})
+		lo.serve("desk", "i-1", cut)
+		lo.serve("desk", "i-2", cut)
+		qt.Assert(t, lo.ask(t.Context()), qt.Equals, 502)
+		content := quarantine.Content{Method: http.MethodGet, Host: "a.example", URI: "http://a.example/x"}
+		li := lo.line()
+		qt.Check(t, li.Text("Content"), qt.Equals, content.Key().String())
+		qt.Check(t, li.Text("BrokeOff"), qt.Equals, "2")
+		for _, id := range []string{"i-1", "i-2"} {
+			qt.Check(t, strings.Contains(li.Text("Under"), id), qt.IsTrue, qt.Commentf(li.Text("Under")))
+		}
+	})
+}
+
 // lostText returns the error of the only attempt, which the system words.
 func lostText(t *testing.T, lo *logged) string {
 	ats := trail.Attempts(*lo.line())
--- /dev/null
+++ b/quarantine/key_test.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Two requests of different content must never share a key: callers of one would be
+// refused for the other. Attempts of the same request share it at every instance.
+func TestKey(t *testing.T) {
+	c := qt.New(t)
+	base := Content{Method: "GET", Host: "a.example", URI: "/x?q=1", Authorization: "t", Body: []byte("b")}
+	c.Assert(base.Key(), qt.Equals, base.Key())
+	c.Assert(base.Key().String(), qt.Equals, "e329db10c6ad57b2c7beff3fbe9c023a")
+	for name, other := range map[string]Content{
+		"method":        {Method: "PUT", Host: "a.example", URI: "/x?q=1", Authorization: "t", Body: []byte("b")},
+		"host":          {Method: "GET", Host: "b.example", URI: "/x?q=1", Authorization: "t", Body: []byte("b")},
+		"query":         {Method: "GET", Host: "a.example", URI: "/x?q=2", Authorization: "t", Body: []byte("b")},
+		"authorization": {Method: "GET", Host: "a.example", URI: "/x?q=1", Authorization: "u", Body: []byte("b")},
+		"body":          {Method: "GET", Host: "a.example", URI: "/x?q=1", Authorization: "t", Body: []byte("c")},
+		"moved byte":    {Method: "GET", Host: "a.example", URI: "/x?q=1t", Authorization: "", Body: []byte("b")},
+		"moved host":    {Method: "GETa", Host: ".example", URI: "/x?q=1", Authorization: "t", Body: []byte("b")},
+	} {
+		c.Check(other.Key() == base.Key(), qt.IsFalse, qt.Commentf(name))
+	}
+}
