--- a/tier/world_test.go
+++ b/tier/world_test.go
@@ -240,20 +240,25 @@
 func (wd *world) serve(service string, count int) []*backend {
 	var out []*backend
 	for nth := range count {
-		ctx, cancel := context.WithCancel(wd.ctx)
-		be := &backend{wd: wd, id: fmt.Sprintf("i-%s-%d", service, nth), service: service, end: cancel}
-		be.hs = httptest.NewServer(be)
-		be.wg.Go(func() { be.announce(ctx) })
-		wd.t.Cleanup(func() {
-			cancel()
-			be.wg.Wait()
-			be.hs.Close()
-		})
-		out = append(out, be)
+		out = append(out, wd.serveOne(service, fmt.Sprintf("i-%s-%d", service, nth), func(be *backend) http.Handler { return be }))
 	}
 	return out
 }
 
+// serveOne starts a backend server that answers as the handler does.
+func (wd *world) serveOne(service, id string, handler func(be *backend) http.Handler) *backend {
+	ctx, cancel := context.WithCancel(wd.ctx)
+	be := &backend{wd: wd, id: id, service: service, end: cancel}
+	be.hs = httptest.NewServer(handler(be))
+	be.wg.Go(func() { be.announce(ctx) })
+	wd.t.Cleanup(func() {
+		cancel()
+		be.wg.Wait()
+		be.hs.Close()
+	})
+	return be
+}
+
 // announce tells one control instance after another until one acknowledges, again
 // and again.
 func (be *backend) announce(ctx context.Context) {
