quarantine: a book of requests under which servers end

Callers of a route are refused again and again while one request ends every backend server that runs it. Nothing remembered what became of servers under a content; this is the memory, without a user yet.

What speaks against a request is that no server ever answers it. Whoever does clears it, at any instance. All attempts that began unwarned count as one loss, since a lost rack takes a popular request along at many instances at once; each further loss must be a probe at one server alone. Three losses and three different servers refuse it, for ten minutes, then it is probed again. A probe doesn't count while its service loses other requests and answers nobody: a bad release must not get its callers' requests refused.

Ruled out: counting servers alone (a merged request is at ten servers when a rack goes), and counting only reports of several instances (a caller may stay at one). At most 1,024 records; refused ones are dropped last, so that nobody pushes them out.

--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,443 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// lossesToRefuse is after how many attempts, and enders after how many servers that
+	// ended under them, a request is refused. The first attempts can't know of each other;
+	// each further one is a probe at one server.
+	lossesToRefuse = 3
+	enders         = 3
+	// holdFor is how long a request is refused, and a suspicion lasts, after the last
+	// loss. After that time a refused request is probed again: a release may have mended
+	// what it met.
+	holdFor = 10 * time.Minute
+	// clearFor is how long a cleared request is remembered as such, so that what others
+	// still tell of older losses doesn't bring the suspicion back.
+	clearFor = time.Minute
+	// retold is how much newer the last loss must be to be told again if nothing else
+	// changed.
+	retold = time.Second
+	// mostRecords bounds a book. A record takes some 200 bytes.
+	mostRecords = 1024
+	// sweepPeriod is the time between two looks for records that have run out.
+	sweepPeriod = 10 * time.Second
+)
+
+// firstLoss stands for all attempts that began before a suspicion was known where they
+// came. However many there were, they may have met the same end of the same servers: a
+// popular request is at many servers when a rack is lost.
+const firstLoss = 0
+
+// Verdict says how a request may run.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Pass   Verdict = iota // Pass: nothing is known against it.
+	Probe                 // Probe: servers ended under it. One server alone runs it until one has answered.
+	Refuse                // Refuse: it is not run.
+)
+
+// String returns the verdict's name.
+func (ve Verdict) String() string {
+	switch ve {
+	case Pass:
+		return "Pass"
+	case Probe:
+		return "Probe"
+	case Refuse:
+		return "Refuse"
+	default:
+		return "Unknown"
+	}
+}
+
+// Loss is an attempt of a request that no server answered and under which some ended.
+type Loss struct {
+	Key     Key
+	Attempt string // Attempt is the id of the attempt.
+	Began   time.Time
+	Probe   bool     // Probe says that one server alone was asked.
+	Service string   // Service is the one whose servers ended, if it was only one.
+	Servers []string // Servers are the ids of those that ended.
+}
+
+// Record is what a book knows of one request, as instances tell each other.
+type Record struct {
+	Key     Key      `cbor:"1,keyasint"`
+	Losses  []uint64 `cbor:"2,keyasint,omitempty"` // Losses stand for attempts, at most lossesToRefuse.
+	Servers []string `cbor:"3,keyasint,omitempty"` // Servers are ids of those that ended, at most enders.
+	Cleared bool     `cbor:"4,keyasint,omitempty"` // Cleared says that a server has answered the request.
+	// Ago is how long ago the last loss, or the answer, was, in milliseconds. Instances
+	// need no common clock.
+	Ago uint32 `cbor:"5,keyasint,omitempty"`
+}
+
+// Verdict returns the verdict of a record that has not run out.
+func (rc Record) Verdict() Verdict {
+	switch {
+	case rc.Cleared || len(rc.Losses) == 0:
+		return Pass
+	case len(rc.Losses) >= lossesToRefuse && len(rc.Servers) >= enders:
+		return Refuse
+	default:
+		return Probe
+	}
+}
+
+// lifetime returns how long a record is kept after its last loss or its answer.
+func (rc Record) lifetime() time.Duration {
+	switch {
+	case rc.Cleared:
+		return clearFor
+	case rc.Verdict() == Refuse:
+		return 2 * holdFor // In the second half it is probed.
+	default:
+		return holdFor
+	}
+}
+
+// entry is a record in a book. Its Ago is not used.
+type entry struct {
+	Record
+	at time.Time // at is when the last loss, or the answer, was.
+}
+
+// outlived reports whether the entry has run out.
+func (en *entry) outlived(now time.Time) bool { return now.Sub(en.at) >= en.lifetime() }
+
+// told returns the record as it is told.
+func (en *entry) told(now time.Time) Record {
+	rc := en.Record
+	rc.Losses, rc.Servers = slices.Clone(rc.Losses), slices.Clone(rc.Servers)
+	rc.Ago = uint32(max(0, now.Sub(en.at)).Milliseconds())
+	return rc
+}
+
+// add takes in losses and servers, as far as there is room, and reports whether any was
+// new.
+func (en *entry) add(losses []uint64, servers []string) bool {
+	news := false
+	for _, lo := range losses {
+		if len(en.Losses) < lossesToRefuse && !slices.Contains(en.Losses, lo) {
+			en.Losses = append(en.Losses, lo)
+			news = true
+		}
+	}
+	for _, id := range servers {
+		if len(en.Servers) < enders && !slices.Contains(en.Servers, id) {
+			en.Servers = append(en.Servers, id)
+			news = true
+		}
+	}
+	return news
+}
+
+// lost takes in losses, the last of them at a time, and reports whether that is news.
+func (en *entry) lost(at time.Time, losses []uint64, servers []string) bool {
+	news := en.add(losses, servers) || at.Sub(en.at) >= retold
+	en.at = later(en.at, at)
+	return news
+}
+
+// clear takes in that a server has answered the request.
+func (en *entry) clear(at time.Time) {
+	en.Losses, en.Servers, en.Cleared, en.at = nil, nil, true, at
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// outage is what a service lost since it last answered: the first losses of two different
+// requests, so that for each request that of another one is known.
+type outage [2]struct {
+	key Key
+	at  time.Time
+}
+
+// add takes in a loss.
+func (ou *outage) add(now time.Time, key Key) {
+	for ix := range ou {
+		if ou[ix].at.IsZero() {
+			ou[ix].key, ou[ix].at = key, now
+		}
+		if ou[ix].key == key {
+			return
+		}
+	}
+}
+
+// before reports whether another request than the given one was lost before a time.
+func (ou *outage) before(until time.Time, key Key) bool {
+	for _, lo := range ou {
+		if !lo.at.IsZero() && lo.key != key && lo.at.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// Book remembers requests under which servers ended. It is safe for concurrent use.
+//
+// What speaks against a request is that nobody ever answers it. Whoever does, any
+// server at any instance, clears it at once: so a request that was only there when others
+// ended, and a popular one that a lost rack took along, run again after one probe.
+type Book struct {
+	size     atomic.Int64
+	changes  atomic.Uint64
+	pressing chan struct{}
+
+	mu       sync.Mutex
+	entries  map[Key]*entry
+	news     map[Key]struct{} // news are the keys of which there is something to tell.
+	services map[string]outage
+	swept    time.Time
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{
+		pressing: make(chan struct{}, 1),
+		entries:  make(map[Key]*entry), news: make(map[Key]struct{}), services: make(map[string]outage),
+	}
+}
+
+// Empty reports whether nothing is held against any request. It takes no lock.
+func (bo *Book) Empty() bool { return bo.size.Load() == 0 }
+
+// Changes returns a number that grows with each change.
+func (bo *Book) Changes() uint64 { return bo.changes.Load() }
+
+// Pressing gets a value when something has changed.
+func (bo *Book) Pressing() <-chan struct{} { return bo.pressing }
+
+// Judge says how a request may run, and if it is refused, for how long.
+func (bo *Book) Judge(now time.Time, key Key) (Verdict, time.Duration) {
+	if bo.Empty() {
+		return Pass, 0
+	}
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	bo.sweep(now)
+	en, ok := bo.entries[key]
+	if !ok || en.outlived(now) {
+		return Pass, 0
+	}
+	ve := en.Verdict()
+	if ve != Refuse {
+		return ve, 0
+	}
+	if left := en.at.Add(holdFor).Sub(now); left > 0 {
+		return Refuse, left
+	}
+	return Probe, 0
+}
+
+// Lose takes in an attempt that no server answered, and returns what is known of the
+// request then. A probe doesn't speak against its request if its service had lost another
+// one before and has answered nobody since: then servers end, or cut off their callers,
+// whatever they run.
+func (bo *Book) Lose(now time.Time, lo Loss) Record {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	en := bo.open(now, lo.Key)
+	ou := bo.services[lo.Service]
+	excused := lo.Probe && ou.before(lo.Began, lo.Key)
+	if lo.Service != "" {
+		ou.add(now, lo.Key)
+		bo.services[lo.Service] = ou
+	}
+	if excused {
+		return en.told(now)
+	}
+	loss := uint64(firstLoss)
+	if lo.Probe {
+		loss = xxhash.Sum64String(lo.Attempt) | 1
+	}
+	if en.lost(now, []uint64{loss}, lo.Servers) {
+		bo.tell(lo.Key)
+	}
+	return en.told(now)
+}
+
+// Served takes in that a service has answered some request. It need not be told while the
+// book is empty.
+func (bo *Book) Served(service string) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	delete(bo.services, service)
+}
+
+// Answered takes in that a server has answered the request, and reports whether that
+// clears it.
+func (bo *Book) Answered(now time.Time, key Key) bool {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	en, ok := bo.entries[key]
+	if !ok || en.Cleared {
+		return false
+	}
+	en.clear(now)
+	bo.tell(key)
+	return true
+}
+
+// Hear takes in what another instance knows, and returns what of it was new. That is not
+// in News: the control instances tell it to all.
+func (bo *Book) Hear(now time.Time, rcs []Record) []Record {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	var out []Record
+	for _, rc := range rcs {
+		if bo.hear(now, rc) {
+			bo.changed()
+			out = append(out, bo.entries[rc.Key].told(now))
+		}
+	}
+	return out
+}
+
+// hear takes in one record and reports whether it was new. Between losses and an answer
+// the later one holds.
+func (bo *Book) hear(now time.Time, rc Record) bool {
+	at := now.Add(-time.Duration(rc.Ago) * time.Millisecond)
+	if now.Sub(at) >= rc.lifetime() || !rc.Cleared && len(rc.Losses) == 0 {
+		return false
+	}
+	en, known := bo.entries[rc.Key]
+	switch {
+	case rc.Cleared && known && (en.Cleared || en.at.After(at)):
+		return false
+	case rc.Cleared:
+		bo.open(now, rc.Key).clear(at)
+		return true
+	case known && en.Cleared && !at.After(en.at):
+		return false
+	}
+	en = bo.open(now, rc.Key)
+	if len(en.Losses) == 0 {
+		en.at = at
+	}
+	return en.lost(at, rc.Losses, rc.Servers)
+}
+
+// open returns the entry of a request, a new one if there is none that still holds.
+func (bo *Book) open(now time.Time, key Key) *entry {
+	bo.sweep(now)
+	en, ok := bo.entries[key]
+	if ok && !en.Cleared && !en.outlived(now) {
+		return en
+	}
+	if !ok && len(bo.entries) >= mostRecords {
+		bo.evict()
+	}
+	en = &entry{Record: Record{Key: key}, at: now}
+	bo.entries[key] = en
+	bo.size.Store(int64(len(bo.entries)))
+	return en
+}
+
+// tell notes that there is something to tell of a request.
+func (bo *Book) tell(key Key) {
+	bo.news[key] = struct{}{}
+	bo.changed()
+}
+
+// changed notes that something has changed.
+func (bo *Book) changed() {
+	bo.changes.Add(1)
+	select {
+	case bo.pressing <- struct{}{}:
+	default:
+	}
+}
+
+// sweep drops what has run out, now and then.
+func (bo *Book) sweep(now time.Time) {
+	if now.Sub(bo.swept) < sweepPeriod {
+		return
+	}
+	bo.swept = now
+	for key, en := range bo.entries {
+		if en.outlived(now) {
+			bo.drop(key)
+		}
+	}
+	if len(bo.entries) == 0 {
+		clear(bo.services)
+	}
+}
+
+// evict drops the entry that matters least: of the mildest verdict, the oldest. Nobody
+// can push out a refused request by making many others suspect.
+func (bo *Book) evict() {
+	var least *entry
+	for _, en := range bo.entries {
+		if least == nil || en.Verdict() < least.Verdict() || en.Verdict() == least.Verdict() && en.at.Before(least.at) {
+			least = en
+		}
+	}
+	bo.drop(least.Key)
+}
+
+func (bo *Book) drop(key Key) {
+	delete(bo.entries, key)
+	delete(bo.news, key)
+	bo.size.Store(int64(len(bo.entries)))
+}
+
+// News returns what has changed since the last call.
+func (bo *Book) News(now time.Time) []Record {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	var out []Record
+	for key := range bo.news {
+		out = append(out, bo.entries[key].told(now))
+	}
+	clear(bo.news)
+	return sorted(out)
+}
+
+// Records returns all that has not run out, for whoever knows nothing yet.
+func (bo *Book) Records(now time.Time) []Record {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	var out []Record
+	for _, en := range bo.entries {
+		if !en.outlived(now) {
+			out = append(out, en.told(now))
+		}
+	}
+	return sorted(out)
+}
+
+// sorted brings records in the order of their keys.
+func sorted(rcs []Record) []Record {
+	slices.SortFunc(rcs, func(a, b Record) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	return rcs
+}
+
+// Count returns how many requests have a verdict.
+func (bo *Book) Count(ve Verdict) int {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	count := 0
+	for _, en := range bo.entries {
+		if en.Verdict() == ve {
+			count++
+		}
+	}
+	return count
+}
