scatter: until a server has answered, few hedges and one retry at a time

A query that ends whoever runs it took a server of each shard by its first attempts and a second one of each by hedges and retries: up to 20 servers at ten shards within some 60 ms, and with them what others ran there.

Until any server has answered there are three hedges at most; after two servers have broken off the rest is asked one at a time, and after the third lone loss the query is given up. With Plan.Probe one server is asked before all others. An answer of any kind ends all that, so a query that loses servers for other reasons goes on as before once another shard has answered.

Ruled out: no hedge at all before an answer. It broke the tests of callers who leave (fault_test.go, six hedged parts) and of late parts (merge_test.go): where all shards of a small query are slow, hedges are worth their cost.

--- a/scatter/events.go
+++ b/scatter/events.go
@@ -6,7 +6,12 @@
 // one is wanted beside it; the zero time means never.
 func (qu *Query) Asked(po int, hedgeAt time.Time) {
 	sh := &qu.shards[po]
+	if sh.flying > 0 && !qu.answered {
+		qu.hedges++
+	}
 	sh.flying++
+	qu.flying++
+	qu.alone = qu.careful()
 	sh.next = hedgeAt
 	if hedgeAt.IsZero() {
 		sh.next = qu.pl.Deadline
@@ -68,6 +73,13 @@
 func (qu *Query) Replied(now time.Time, po int, re Reply) {
 	sh := &qu.shards[po]
 	sh.flying--
+	qu.flying--
+	switch re {
+	case ReplyPart, ReplyFailed:
+		qu.answered = true
+	case ReplyLost:
+		qu.broke()
+	}
 	if sh.have {
 		return
 	}
@@ -94,6 +106,15 @@
 	qu.settle(now)
 }
 
+// broke counts a server that broke off, and gives the request up if it was asked alone to
+// see whether it would.
+func (qu *Query) broke() {
+	qu.broken++
+	if qu.alone && !qu.answered && (qu.pl.Probe || qu.broken >= mostBroken) {
+		qu.givenUp = true
+	}
+}
+
 // ended decides what follows an attempt without a part.
 func (qu *Query) ended(now time.Time, sh *shard, ca Cause) {
 	sh.blame(ca)
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -21,6 +21,10 @@
 	Hold        time.Time     // Hold is until when missing parts are waited for once Least are in.
 	Deadline    time.Time     // Deadline is when the query is given up.
 	Pause       time.Duration // Pause is the time before a shard is asked again after a refusal, or the first time for want of a connection.
+	// Probe says that servers have ended under the same request before. One is asked
+	// alone, and others only once it has answered.
+	Probe bool
+	From  int // From is the shard that is asked first, from 0.
 }
 
 // Cause says why a shard has no part.
@@ -83,6 +87,17 @@
 // apart from MaxAttempts, which counts those that may have run it.
 const refusals = 3
 
+// A request may end whoever runs it. Until a server has answered, there is no telling.
+const (
+	// fewBroken is how many servers may break off before the others are asked one at a
+	// time.
+	fewBroken = 2
+	// fewHedges is how many hedges there may be.
+	fewHedges = 3
+	// mostBroken is how many may before no further one is asked.
+	mostBroken = 3
+)
+
 // busyDoublings is how often the pause for want of a connection doubles.
 const busyDoublings = 3
 
@@ -105,6 +120,13 @@
 	have   int
 	lost   int
 	end    End
+
+	flying   int  // flying counts the attempts under way for all shards.
+	hedges   int  // hedges counts those that were begun before any server had answered.
+	broken   int  // broken counts those that were sent and had no good answer.
+	answered bool // answered says that a server has answered: the request doesn't end whoever runs it.
+	alone    bool // alone says that the attempt under way was begun alone, to see whether it does.
+	givenUp  bool // givenUp says that it is taken to do so, so that no further one is asked.
 }
 
 // New returns a query that has asked nobody yet.
@@ -138,27 +160,53 @@
 	if qu.end != Running {
 		return out
 	}
-	for po := range qu.shards {
+	hedges := 0
+	for ix := range qu.shards {
+		po := (qu.pl.From + ix) % len(qu.shards)
 		sh := &qu.shards[po]
 		if sh.have || sh.lost || now.Before(sh.next) || !qu.mayAsk(sh) {
 			continue
 		}
 		switch {
+		case sh.flying > 0 && !qu.mayHedge(hedges):
+			continue
 		case sh.flying > 0:
+			hedges++
 			out = append(out, Want{po, Hedge})
 		case sh.ran+sh.refused > 0:
 			out = append(out, Want{po, Retry})
 		default:
 			out = append(out, Want{po, First})
 		}
+		if qu.careful() {
+			break
+		}
 	}
 	return out
 }
 
+// careful reports whether servers are asked one at a time. Otherwise a request that ends
+// whoever runs it takes two servers of each shard, by its retries, within milliseconds.
+func (qu *Query) careful() bool {
+	return !qu.answered && (qu.pl.Probe || qu.broken >= fewBroken)
+}
+
+// mayHedge reports whether there may be one more hedge beside those that are wanted. Where
+// no shard has answered, it is not a slow server that hedges help against, and the request
+// may be ending all that have it.
+func (qu *Query) mayHedge(wanted int) bool {
+	return qu.answered || qu.hedges+wanted < fewHedges
+}
+
 // mayAsk reports whether one more backend server may get the request.
 func (qu *Query) mayAsk(sh *shard) bool {
-	if sh.flying > 0 && !qu.pl.Repeatable {
+	switch {
+	case sh.flying > 0 && !qu.pl.Repeatable:
 		return false // A request that may run once has one attempt at a time.
+	case qu.flying > 0 && qu.careful():
+		return false
+	case sh.flying > 0 && !qu.mayHedge(0):
+		return false
 	}
 	return sh.ran+sh.flying < max(1, qu.pl.MaxAttempts)
 }
@@ -170,6 +218,8 @@
 	}
 	total := qu.pl.Shards
 	switch {
+	case qu.givenUp:
+		qu.end = Failed
 	case qu.have == total:
 		qu.end = Answered
 	case qu.have+qu.lost == total && qu.have >= qu.pl.Least:
