gateway, feed, tier: a request under which servers end is stopped at all instances

Callers of ten shards were refused for some 3 s, twelve times within 70 s: one request ended all 30 backend servers each time it came. Cause: the tier forgot with each attempt what became of the servers, and hedges, retries and the caller's next attempt, at any instance, passed the request on to the next ones.

An entry instance now keeps a book of contents under which servers end (package quarantine), tells control instances of each loss and each answer, and they tell all others within a batch (2 to 20 ms). A suspected request runs at one server until that has answered, a refused one gets 503 with code 109 and Retry-After at once, before admission and without a backend server. It holds while control is away (each entry instance has its own book and tells it with each new link), after a restart of an entry instance (the first message of a link has all) and of all instances (control instances note it at once). Older instances ignore the new fields; there is no new kind of message, which would end their links.

TestRetryBudget sent 400 times the same request to servers that all break off, which is now refused soon; it sends 400 different ones, with the same bound. The folder of TestMetricNames was removed while instances still wrote to it (seen once: directory not empty); it is removed last now.

--- a/feed/message.go
+++ b/feed/message.go
@@ -17,6 +17,7 @@
 import (
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 )
 
@@ -136,6 +137,8 @@
 
 	DataCentre string `cbor:"6,keyasint,omitempty"` // DataCentre is that of the control instance.
 	Sharers    int    `cbor:"7,keyasint,omitempty"` // Sharers is as in Update.
+
+	Suspects []quarantine.Record `cbor:"8,keyasint,omitempty"` // Suspects are all requests under which servers ended.
 }
 
 // Kind returns the kind of the message.
@@ -151,6 +154,8 @@
 	// Sharers is how many entry instances callers are led to who share backend servers; 0
 	// if unchanged, or unknown.
 	Sharers int `cbor:"6,keyasint,omitempty"`
+	// Suspects are requests under which servers ended, or that are cleared of that.
+	Suspects []quarantine.Record `cbor:"7,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
@@ -165,9 +170,11 @@
 // Kind returns the kind of the message.
 func (LoadReport) Kind() peer.Kind { return kindLoadReport }
 
-// Seen tells a control instance what the entry instance saw of backend servers.
+// Seen tells a control instance what the entry instance saw of backend servers, and of
+// requests under which they ended.
 type Seen struct {
-	Samples []outlier.Sample `cbor:"1,keyasint"`
+	Samples  []outlier.Sample    `cbor:"1,keyasint"`
+	Suspects []quarantine.Record `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -41,6 +42,8 @@
 	Silence    time.Duration // Silence is how long a backend server may go without an announcement.
 	// Members gives the control instances until SetMembers is called; nil means none.
 	Members func() []Member
+	// Quarantine holds the requests under which servers ended; nil means a new book.
+	Quarantine *quarantine.Book
 }
 
 // Publisher tells the entry instances that have a link to this control instance
@@ -71,6 +74,7 @@
 
 	documents documents
 	outliers  outliers
+	qa        *quarantine.Book
 }
 
 // subscriber is one link of an entry instance.
@@ -95,6 +99,8 @@
 	entries map[string]struct{}
 	servers []registry.Change // servers holds one change for each id, in the order of the first.
 	places  map[string]int    // places are the places in servers by id.
+	// suspects are the requests under which servers ended of which something is new.
+	suspects map[quarantine.Key]quarantine.Record
 }
 
 // NewPublisher returns the publisher of a control instance. It accepts
@@ -105,17 +111,24 @@
 		cf: cf, ts: ts, lg: lg, lo: newBounded(lg),
 		book:        registry.NewBook(cf.Silence),
 		outliers:    outliers{de: outlier.New()},
+		qa:          cf.Quarantine,
 		subscribers: make(map[*subscriber]struct{}),
 		live:        make(map[string]Entry),
 		loads:       make(map[string]float64),
 		pending:     newPending(),
 	}
+	if pu.qa == nil {
+		pu.qa = quarantine.New()
+	}
 	pu.ready.Store(&[]Entry{})
 	return pu
 }
 
 func newPending() pending {
-	return pending{entries: make(map[string]struct{}), places: make(map[string]int)}
+	return pending{
+		entries: make(map[string]struct{}), places: make(map[string]int),
+		suspects: make(map[quarantine.Key]quarantine.Record),
+	}
 }
 
 // Serve removes backend servers that have fallen silent until the context ends,
@@ -323,6 +336,7 @@
 			pu.report(sb, float64(me.Load))
 		case Seen:
 			pu.outliers.add(pu.ts.Now(), sb.en.Name, me.Samples)
+			pu.Suspect(sb.en.Name, me.Suspects)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -375,6 +389,7 @@
 	return Picture{
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.entries(func(Entry) bool { return true }), Servers: pu.book.Records(now),
+		Suspects: pu.qa.Records(now),
 	}
 }
 
@@ -509,6 +524,9 @@
 		}
 	}
 	up.Changes = pu.pending.servers
+	for _, rc := range pu.pending.suspects {
+		up.Suspects = append(up.Suspects, rc)
+	}
 	return up
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -169,6 +169,11 @@
 	if err == nil && su.cf.Own == "" {
 		err = co.Send(su.reported)
 	}
+	if err == nil && su.cf.Suspects != nil {
+		if rcs := su.cf.Suspects(); len(rcs) > 0 {
+			err = co.Send(Seen{Suspects: rcs})
+		}
+	}
 	if err == nil {
 		su.conns[so] = co
 	}
@@ -239,6 +244,7 @@
 	so.version = 0
 	su.announced(so, pi.Version)
 	su.un.Replace(now, so.address, pi.Servers)
+	su.suspects(so, pi.Suspects)
 }
 
 func (su *Subscriber) update(so *source, up Update) {
@@ -264,6 +270,7 @@
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
 	}
+	su.suspects(so, up.Suspects)
 }
 
 // lost takes in that there is no link. What the control instance said of backend
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -11,6 +11,7 @@
 
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -53,6 +54,9 @@
 	SharersChanged(count int)
 	// OutliersFound gives what all entry instances together saw of backend servers.
 	OutliersFound(fis []outlier.Finding)
+	// SuspectsHeard gives what a control instance knows of requests under which servers
+	// ended.
+	SuspectsHeard(control string, rcs []quarantine.Record)
 }
 
 // SubscriberConfig is what a subscriber needs to know.
@@ -64,6 +68,9 @@
 	// Own is the address of the control instance that the subscriber belongs to, which
 	// needs no link to itself; empty for an entry instance.
 	Own string
+	// Suspects gives what the own instance knows of requests under which servers ended,
+	// for a control instance whose link has come up; nil for nothing.
+	Suspects func() []quarantine.Record
 }
 
 // Subscriber keeps an entry instance's links to all control instances. Its
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -37,6 +38,8 @@
 
 func (*eye) OutliersFound([]outlier.Finding) {}
 
+func (*eye) SuspectsHeard(string, []quarantine.Record) {}
+
 // await takes what an observer is told until it is what is wanted.
 func await[T any](c *qt.C, from <-chan T, done func(T) bool) {
 	c.Helper()
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -19,6 +19,7 @@
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -310,6 +311,7 @@
 	su   *Subscriber
 	stop context.CancelFunc
 	done chan struct{}
+	qa   *quarantine.Book
 
 	mu       sync.Mutex
 	seeds    []string
@@ -338,10 +340,13 @@
 
 func (wo *world) subscribe(sc SubscriberConfig, seeds []string) *entry {
 	name := sc.Self.Name
-	en := &entry{wo: wo, name: name, seeds: seeds, done: make(chan struct{})}
+	en := &entry{wo: wo, name: name, seeds: seeds, done: make(chan struct{}), qa: quarantine.New()}
 	cf := wo.config()
 	cf.Connect = func(ctx context.Context, address string) (net.Conn, error) { return wo.connect(ctx, name, address) }
 	sc.Seeds, sc.Link, sc.Hold = en.giveSeeds, cf, testHold
+	if sc.Own == "" {
+		sc.Suspects = func() []quarantine.Record { return en.qa.Records(wo.ts.Now()) }
+	}
 	en.su = NewSubscriber(sc, wo.ts, wo.lg, en)
 	ctx, cancel := context.WithCancel(wo.ctx)
 	en.stop = cancel
@@ -433,6 +438,10 @@
 	en.found = append(en.found, fis...)
 }
 
+func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) {
+	en.qa.Hear(time.Now(), rcs)
+}
+
 // findings returns what the entry instance was told of outliers.
 func (en *entry) findings() []outlier.Finding {
 	en.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,6 +27,8 @@
 	refusalNoTable  = "no configuration"
 	refusalStopping = "stopping"
 	refusalBusy     = "too many requests"
+	// refusalQuarantined is the refusal of a request under which servers ended before.
+	refusalQuarantined = "backend servers end under this request"
 )
 
 // call is one request of a caller.
@@ -48,7 +50,9 @@
 	hedged int
 	again  int
 	denied int
-	cr     *carrier // cr carried the request out; nil if nobody was asked.
+	key    quarantine.Key // key is zero until content is asked for.
+	probe  bool           // probe says that servers ended under the request before.
+	cr     *carrier       // cr carried the request out; nil if nobody was asked.
 }
 
 // serve answers a request under the table that was in force when it came.
@@ -66,6 +70,9 @@
 	if !ca.readBody() {
 		return
 	}
+	if !ca.allowed() {
+		return
+	}
 	services := ro.Shards
 	if len(services) == 0 {
 		services = []string{ca.sv.pk.Pick(ro)}
@@ -141,7 +148,7 @@
 	if shards > 1 {
 		pl.Offer = pl.Hold // Other shards are at work by then, so refusing early saves nothing.
 	}
-	return pl
+	return ca.asProbe(pl)
 }
 
 const (
@@ -152,14 +159,6 @@
 	offerPart = 5
 )
 
-// key stands for the content of the request, in whatever attempt it comes.
-func (ca *call) key() quarantine.Key {
-	return quarantine.Content{
-		Method: ca.rq.Method, Host: ca.rq.Host, URI: ca.rq.RequestURI,
-		Authorization: ca.rq.Header.Get("Authorization"), Body: ca.body,
-	}.Key()
-}
-
 // request returns what is sent to backend servers.
 func (ca *call) request() *upstream.Request {
 	return &upstream.Request{
--- a/gateway/fault_test.go
+++ b/gateway/fault_test.go
@@ -316,8 +316,10 @@
 				rg.serve("s", 5, fa.ac)
 				rg.table(route.Route{Prefix: "/", Timeout: soon, Aim: 100 * time.Millisecond, MaxAttempts: 3, Targets: to("s")})
 				var ans []<-chan *answer
-				for range 400 {
-					ans = append(ans, rg.begin(ask{uri: "/a"}))
+				for nth := range 400 {
+					// Were they one and the same request, they would be refused soon, as one
+					// under which servers end.
+					ans = append(ans, rg.begin(ask{uri: fmt.Sprintf("/a?%d", nth)}))
 					time.Sleep(10 * time.Millisecond)
 				}
 				for _, an := range ans {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"balsamwinch.example/admit"
 	"balsamwinch.example/budget"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/route"
@@ -64,6 +65,7 @@
 	bu *budget.Budget
 	pk *route.Picker
 	ad *admit.Limiter
+	qa *quarantine.Book
 	qu *queue
 
 	started time.Time
@@ -89,9 +91,9 @@
 }
 
 // New returns a gateway that refuses all requests until it has a table.
-func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget) *Server {
+func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Table, bu *budget.Budget, qa *quarantine.Book) *Server {
 	sv := &Server{
-		cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu,
+		cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, qa: qa,
 		pk: route.NewPicker(), ad: admit.New(max(1, cf.MostActive)), qu: newQueue(),
 		limits: make(map[string]int), expected: make(map[string]time.Time),
 	}
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -151,10 +151,13 @@
 	if broke := ca.brokeOff(); len(broke) > 0 {
 		// The id is new in each attempt of a caller: the content shows which attempts
 		// are the same request, and so whether servers end under one of them.
-		oe.AddString("Content", ca.key().String())
+		oe.AddString("Content", ca.content().String())
 		oe.AddInt("BrokeOff", len(broke))
 		zap.Strings("Under", broke[:min(len(broke), mostBrokeOff)]).AddTo(oe)
 	}
+	if ca.code == result.NotRunQuarantined {
+		oe.AddString("Content", ca.content().String())
+	}
 	if ca.status >= http.StatusInternalServerError {
 		oe.AddInt("Active", ca.sv.Active())
 		oe.AddInt64("NewsMillis", ca.sv.newsAge(ca.start).Milliseconds())
--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -100,7 +100,7 @@
 	t.Cleanup(up.Close)
 	bu := budget.New(budget.Config{Ratio: 100, Slack: 100}, ts.Now().Add(-time.Hour))
 	cf := Config{Names: lineNames, CallerDistance: 3 * time.Millisecond, HoldMargin: time.Millisecond, MostActive: 100}
-	lo.sv = New(cf, ts, lg, up, replica.New(replica.Config{}), bu)
+	lo.sv = New(cf, ts, lg, up, replica.New(replica.Config{}), bu, quarantine.New())
 	lo.sv.SetEntries(1)
 	return lo
 }
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/result"
 	"balsamwinch.example/scatter"
 	"balsamwinch.example/upstream"
@@ -59,7 +60,9 @@
 // meters counts what happened to requests. The zero value counts nothing visible
 // until begin.
 type meters struct {
-	set *metrics.Set
+	set     *metrics.Set
+	probed  *metrics.Counter
+	refused *metrics.Counter
 
 	mu       sync.Mutex // mu guards additions to the maps.
 	routes   atomic.Pointer[map[string]*routeMeters]
@@ -83,6 +86,11 @@
 		defer sv.mu.Unlock()
 		return float64(sv.entries.now)
 	})
+	mt.probed = mt.set.NewCounter("balsamwinch_requests_probed_total")
+	mt.refused = mt.set.NewCounter("balsamwinch_requests_quarantined_total")
+	for _, ve := range []quarantine.Verdict{quarantine.Probe, quarantine.Refuse} {
+		mt.set.NewGauge(`balsamwinch_quarantine_records{verdict="`+ve.String()+`"}`, func() float64 { return float64(sv.qa.Count(ve)) })
+	}
 	mt.set.NewGauge("balsamwinch_backend_servers", func() float64 {
 		sv.mu.Lock()
 		defer sv.mu.Unlock()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/budget"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/route"
@@ -88,7 +89,7 @@
 	re := replica.New(replica.Config{Seed: 1, HedgeShare: 0.08})
 	rg.gw = New(Config{
 		Names: names, CallerDistance: distance, HoldMargin: margin, MostActive: se.mostActive,
-	}, rg.ts, lg, rg.up, re, rg.bu)
+	}, rg.ts, lg, rg.up, re, rg.bu, quarantine.New())
 	if !se.young {
 		rg.gw.started = rg.gw.started.Add(-youngFor)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -72,6 +72,7 @@
 	}
 	ca.cr = cr
 	cr.begin(ca.sv.ts.Now())
+	defer ca.learn()
 	return cr, cr.loop()
 }
 
@@ -134,7 +135,7 @@
 	if wa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, cr.picks[wa.Shard])
 	}
-	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable(), HedgeShare: hedgeShare(len(cr.services))}
+	as := replica.Ask{Service: service, Work: cr.ca.ro.Name, Avoid: cr.tried[wa.Shard], Sure: !cr.ca.repeatable() || cr.ca.probe, HedgeShare: hedgeShare(len(cr.services))}
 	pk, ok := cr.choose(now, wa, as)
 	if !ok {
 		cr.nobody(now, wa)
@@ -201,6 +202,9 @@
 		sv.bu.Return(now, at.spent, se.Service)
 	}
 	sv.mt.ended(ctx, cr.services[at.shard], rs)
+	if rs.Outcome == upstream.Answered && !sv.qa.Empty() {
+		sv.qa.Served(se.Service)
+	}
 	select {
 	case cr.ends <- ended{at.shard, at.number, rs}:
 	case <-ctx.Done():
--- a/result/result.go
+++ b/result/result.go
@@ -41,6 +41,9 @@
 	// NotRunNoControl says that the intent of a not-repeatable request could
 	// not be recorded, so it was not sent.
 	NotRunNoControl Code = 108
+	// NotRunQuarantined says that backend servers ended under the same request
+	// before, and none ever answered it.
+	NotRunQuarantined Code = 109
 )
 
 // Failures after a backend server may have begun.
@@ -103,6 +106,7 @@
 	{NotRunBadRequest, "NotRunBadRequest", http.StatusBadRequest, "Refused: the request is malformed; Detail says where."},
 	{NotRunKeyReused, "NotRunKeyReused", http.StatusConflict, "Refused: the key was used before with another request."},
 	{NotRunNoControl, "NotRunNoControl", http.StatusServiceUnavailable, "Refused: the intent of a not-repeatable request could not be recorded."},
+	{NotRunQuarantined, "NotRunQuarantined", http.StatusServiceUnavailable, "Refused: backend servers end when they run this request. Come back after Retry-After."},
 	{Incomplete, "Incomplete", http.StatusGatewayTimeout, "The service's policy demands every shard and some are missing; they are named."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, "A not-repeatable request may have run. It is not sent again under this key."},
 	{Failed, "Failed", http.StatusBadGateway, "Backend servers ran the request and reported failure."},
--- a/tier/control.go
+++ b/tier/control.go
@@ -10,6 +10,7 @@
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
 	"balsamwinch.example/link"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/result"
 	"balsamwinch.example/timer"
@@ -43,9 +44,12 @@
 
 func runControl(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	co := &control{sh: sh, lu: newLookUps(ts, lg), lg: lg, ts: ts}
-	co.pu = feed.NewPublisher(feed.PublisherConfig{Name: se.Name, DataCentre: se.DataCentre, Silence: silentAnnouncements * se.Timing.Announcement}, ts, lg)
+	qa := quarantine.New()
+	co.pu = feed.NewPublisher(feed.PublisherConfig{
+		Name: se.Name, DataCentre: se.DataCentre, Silence: silentAnnouncements * se.Timing.Announcement, Quarantine: qa,
+	}, ts, lg)
 	co.ro = newRosters(di.Tables(), co.pu, ts, lg)
-	me := memory{dir: se.DataFolder, pu: co.pu, ot: &others{}, ro: co.ro, ts: ts, lg: lg}
+	me := memory{dir: se.DataFolder, pu: co.pu, ot: &others{suspect: co.pu.Suspect}, ro: co.ro, qa: qa, ts: ts, lg: lg}
 	me.restore(se.Timing.Announcement)
 	co.nd = fleet.New(fleet.Config{
 		Name: se.Name, Address: se.LinkAddress(), Seeds: sh.linkSeeds, First: se.FirstStart, Losses: se.Losses,
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -12,6 +12,7 @@
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/result"
@@ -44,6 +45,7 @@
 	su   *feed.Subscriber
 	door *door
 	re   *replica.Table
+	qa   *quarantine.Book
 	ts   *timer.Service
 	lg   *zap.Logger
 	st   *standing
@@ -67,6 +69,7 @@
 	sp.Add(service{"callers", en.door.Serve})
 	sp.Add(service{"news", en.tellNews})
 	sp.Add(service{"load", en.tellLoad})
+	sp.Add(service{"suspects", en.tellSuspects})
 	sp.Add(service{"house", func(ctx context.Context) error { return keepHouse(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.leave(se.Timing.StopWithin, ts) })
 	return nil
@@ -89,14 +92,16 @@
 	now := ts.Now()
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano())})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Share: budgetShare}, now)
-	en := &entry{tbs: di.Tables(), re: re, ts: ts, lg: lg}
+	qa := quarantine.New()
+	en := &entry{tbs: di.Tables(), re: re, qa: qa, ts: ts, lg: lg}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.Names(), Name: se.Name, DataCentre: se.DataCentre,
 		CallerDistance: se.Timing.CallerDistance, HoldMargin: holdMargin, MostActive: mostActive,
-	}, ts, lg, up, re, bu)
+	}, ts, lg, up, re, bu, qa)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: sh.linkSeeds, Link: lc, Hold: serverHold,
+		Suspects: func() []quarantine.Record { return qa.Records(ts.Now()) },
 	}, ts, lg, en)
 	en.st = &standing{tell: en.su.SetState}
 	return en
@@ -159,6 +164,22 @@
 // OutliersFound takes over what all entry instances together saw of backend servers.
 func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
 
+// SuspectsHeard takes over what all instances know of requests under which servers ended.
+func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) { en.qa.Hear(en.ts.Now(), rcs) }
+
+// tellSuspects tells at once of requests under which servers ended here, until the context
+// ends.
+func (en *entry) tellSuspects(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-en.qa.Pressing():
+			en.su.SendSuspects(en.qa.News(en.ts.Now()))
+		}
+	}
+}
+
 const (
 	// newsPeriod is how often an entry instance tells what it saw of backend servers,
 	// and mostNews of how many at most. A sample takes some 25 bytes.
--- a/tier/memory.go
+++ b/tier/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/feed"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/roster"
 	"balsamwinch.example/timer"
@@ -20,10 +22,12 @@
 )
 
 const (
-	// serversName, entriesName and chosenName are names in the data folder.
+	// These are names in the data folder.
 	serversName = "servers"
 	entriesName = "entry-instances"
 	chosenName  = "chosen"
+	// suspectsName is the note of requests under which servers ended.
+	suspectsName = "suspects"
 	// memoryPeriod is how often a change is looked for.
 	memoryPeriod = 200 * time.Millisecond
 	// memoryKeep is how many announcements a backend server may miss after a start
@@ -51,17 +55,19 @@
 	pu  *feed.Publisher
 	ot  *others
 	ro  *rosters
+	qa  *quarantine.Book
 	ts  *timer.Service
 	lg  *zap.Logger
 }
 
-// restore reads the notes of backend servers, and of how many entry instances callers
-// were led to, if there are any.
+// restore reads the notes of backend servers, of requests under which they ended, and of
+// how many entry instances callers were led to, if there are any.
 func (me memory) restore(announcement time.Duration) {
 	var nos []roster.Noted
 	if me.read(chosenName, &nos) {
 		me.ro.restore(nos)
 	}
+	me.restoreSuspects()
 	var ses []registry.Server
 	if me.read(serversName, &ses) {
 		me.pu.Restore(ses, memoryKeep*announcement)
@@ -104,13 +110,21 @@
 		me.lg.Warn("folder-not-made", zap.String("Folder", me.dir), zap.Error(err))
 	}
 	var noted [2]uint64
+	suspects := me.qa.Pressing()
 	chosen := me.ro.note()
 	el := newEntryList(me.ts.Now(), me.entries())
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-suspects:
+			// At once, since all instances may lose power in the next moment; but not again
+			// before the next look, however many come.
+			me.writeSuspects()
+			suspects = nil
+			continue
 		case <-su.C:
+			suspects = me.qa.Pressing()
 		}
 		if ses, changes := me.servers(noted); changes != noted {
 			me.write(serversName, ses)
@@ -160,3 +174,31 @@
 		me.lg.Warn("note-not-written", zap.String("Name", name), zap.Error(err))
 	}
 }
+
+// notedSuspects is the note of requests under which servers ended.
+type notedSuspects struct {
+	At      int64               `cbor:"1,keyasint"` // At is the time of day at which it was written, in Unix milliseconds.
+	Records []quarantine.Record `cbor:"2,keyasint,omitempty"`
+}
+
+func (me memory) writeSuspects() {
+	now := me.ts.Now()
+	me.write(suspectsName, notedSuspects{At: now.UnixMilli(), Records: me.qa.Records(now)})
+}
+
+// restoreSuspects takes in the note of requests under which servers ended. All that knew of
+// them may have lost power at once, and the request comes again.
+func (me memory) restoreSuspects() {
+	var no notedSuspects
+	if !me.read(suspectsName, &no) {
+		return
+	}
+	now := me.ts.Now()
+	// A clock that was set back makes them no younger than they were.
+	down := max(0, now.UnixMilli()-no.At)
+	for ix := range no.Records {
+		no.Records[ix].Ago = uint32(min(int64(no.Records[ix].Ago)+down, math.MaxUint32))
+	}
+	news := me.qa.Hear(now, no.Records)
+	me.lg.Info("suspects-restored", zap.Int("Suspects", len(news)))
+}
--- a/tier/memory_test.go
+++ b/tier/memory_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/feed"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/roster"
 	"balsamwinch.example/timer"
@@ -21,7 +22,7 @@
 func newMemory(dir string) memory {
 	ts := timer.New()
 	pu := feed.NewPublisher(feed.PublisherConfig{Name: "one", Silence: 4 * time.Second}, ts, zap.NewNop())
-	return memory{dir: dir, pu: pu, ot: &others{}, ro: newRosters(nil, pu, ts, zap.NewNop()), ts: ts, lg: zap.NewNop()}
+	return memory{dir: dir, pu: pu, ot: &others{}, ro: newRosters(nil, pu, ts, zap.NewNop()), qa: quarantine.New(), ts: ts, lg: zap.NewNop()}
 }
 
 func known(me memory) (out []string) {
--- a/tier/others.go
+++ b/tier/others.go
@@ -7,12 +7,17 @@
 
 	"balsamwinch.example/feed"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 )
 
 // others is what a control instance hears of backend servers from the other ones. It
 // decides nothing by it and only notes it, for the next start.
 type others struct {
+	// suspect takes in what another control instance knows of requests under which servers
+	// ended.
+	suspect func(control string, rcs []quarantine.Record)
+
 	mu      sync.Mutex
 	servers map[string][]registry.Server
 	changes uint64 // changes grows with every change.
@@ -49,5 +54,9 @@
 // SharersChanged ignores what entry instances are told.
 func (*others) SharersChanged(int) {}
 
+// SuspectsHeard takes over what another control instance knows of requests under which
+// servers ended: an entry instance may have a link to one of the two alone.
+func (ot *others) SuspectsHeard(control string, rcs []quarantine.Record) { ot.suspect(control, rcs) }
+
 // OutliersFound ignores what entry instances are told.
 func (*others) OutliersFound([]outlier.Finding) {}
--- a/tier/world_test.go
+++ b/tier/world_test.go
@@ -71,6 +71,7 @@
 		t: t, ctx: ctx, instances: make(map[string]*instance), listeners: make(map[string]net.Listener),
 		hc: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second},
 	}
+	t.TempDir() // What it makes is removed last, when no instance writes any more.
 	t.Cleanup(tier.SetListen(wd.listen))
 	t.Cleanup(func() {
 		cancel()
