emulate, soak: a request that ends the servers that run it, amid other faults

RequestFatal has a caller send one to instance after instance until long after all must know it; the servers that end are replaced after a second; beside it others ask a popular request. Check fatal: later than 4 s after the third end, three more attempts reach servers at most. Check blame: nothing else is refused as such a request.

--- a/emulate/seen.go
+++ b/emulate/seen.go
@@ -16,6 +16,7 @@
 	SeenLeaving                      // SeenLeaving is control's word that it heard that the server leaves.
 	SeenAccepted                     // SeenAccepted is a connection within the limit.
 	SeenReset                        // SeenReset is a connection beyond the limit.
+	SeenEnded                        // SeenEnded is a request under which the server ended.
 )
 
 // Seen is one thing that a backend server saw. The last three fields are those of
--- a/emulate/serve.go
+++ b/emulate/serve.go
@@ -71,6 +71,9 @@
 		return
 	}
 	err := se.rest(ctx, se.work(tr)+se.connectionCost(rq))
+	if rq.Context().Err() == nil {
+		se.endsUnder(rq)
+	}
 	switch {
 	case rq.Context().Err() != nil: // The caller has closed the connection.
 	case err != nil:
--- a/emulate/server.go
+++ b/emulate/server.go
@@ -52,6 +52,9 @@
 	IdleTimeout    time.Duration // IdleTimeout is when an idle connection is closed; default 30 s.
 	Seed           uint64        // Seed makes work, pauses and faults repeatable.
 	Note           func(Seen)    // Note is told what the server sees, by many goroutines at once; may be nil.
+	// Ended is called once the server has ended under a request with FatalText in its
+	// path; nil: it doesn't end under any.
+	Ended func(se *Server)
 }
 
 const (
@@ -108,6 +111,7 @@
 	tr      atomic.Pointer[Trouble]
 	seq     atomic.Uint64
 	heard   atomic.Bool
+	ended   atomic.Bool // ended says that a request has ended the server.
 
 	mu     sync.Mutex // mu guards what follows.
 	rd     *rand.Rand
@@ -138,6 +142,23 @@
 	return se, nil
 }
 
+// FatalText is in the path of requests under which servers end.
+const FatalText = "fatal"
+
+// endsUnder ends the server if the request is one that does that: all its connections at
+// once, and without a word to control.
+func (se *Server) endsUnder(rq *http.Request) {
+	if se.cf.Ended == nil || !strings.Contains(rq.URL.Path, FatalText) {
+		return
+	}
+	if !se.ended.Swap(true) {
+		se.note(SeenEnded, rq)
+		_ = se.hs.Close()
+		se.cf.Ended(se)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // ID returns the server's id.
 func (se *Server) ID() string { return se.cf.ID }
 
--- a/emulate/soak/answers.go
+++ b/emulate/soak/answers.go
@@ -66,6 +66,7 @@
 		ju.parts(at, rq, an)
 	case saysNotRun(an.Status):
 		rq.notRun = an.Status
+		ju.blame(at, rq, an)
 		ju.notRun(at, rq, "")
 	}
 }
--- a/emulate/soak/arrivals.go
+++ b/emulate/soak/arrivals.go
@@ -25,6 +25,8 @@
 		ju.arrived(sn)
 	case emulate.SeenRan:
 		ju.ran(sn)
+	case emulate.SeenEnded:
+		ju.ended(sn)
 	}
 }
 
@@ -51,6 +53,7 @@
 // arrived checks that a request came to a server that may still get some, and
 // within the budget.
 func (ju *Judge) arrived(sn emulate.Seen) {
+	ju.fatal(sn)
 	if left, ok := ju.leaving[sn.Server]; ok {
 		after := sn.At.Sub(left)
 		ju.look(CheckDrain, after <= ju.cf.Checks.Drain+ju.cf.Checks.DrainSlack, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
--- /dev/null
+++ b/emulate/soak/fatal.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"balsamwinch.example/emulate"
+	"balsamwinch.example/result"
+)
+
+const (
+	// newsWithin is how long after the third server has ended an instance may not know of
+	// the request.
+	newsWithin = 4 * time.Second
+	// downFor is how long a server is away that has ended under a request.
+	downFor = time.Second
+	// revivedWithin is how long after the last attempt the last such server is back.
+	revivedWithin = 2 * time.Second
+	// fatalEvery is how often the caller of such a request sends it again, and
+	// popularEvery how often others ask the same beside it.
+	fatalEvery   = 250 * time.Millisecond
+	popularEvery = 40 * time.Millisecond
+	// threeServers and threeAttempts are what the tier promises: a request under which so
+	// many servers have ended reaches servers in so many more attempts at most.
+	threeServers  = 3
+	threeAttempts = 3
+)
+
+// toll is what a request did to servers.
+type toll struct {
+	ended    int
+	third    time.Time           // third is when the third one ended.
+	attempts map[string]struct{} // attempts are those that reached a server later than newsWithin after that.
+}
+
+// ended notes that a server has ended under a request. The third end counts as a look:
+// from then on each arrival is judged, and at best none comes.
+func (ju *Judge) ended(sn emulate.Seen) {
+	to := ju.tolls[sn.Path]
+	if to == nil {
+		to = &toll{attempts: make(map[string]struct{})}
+		ju.tolls[sn.Path] = to
+	}
+	if to.ended++; to.ended == threeServers {
+		to.third = sn.At
+		ju.look(CheckFatal, true, Breach{}, sn.At, nil)
+	}
+}
+
+// fatal checks that a request under which servers ended reaches no more of them.
+func (ju *Judge) fatal(sn emulate.Seen) {
+	to := ju.tolls[sn.Path]
+	if to == nil || to.ended < threeServers || sn.At.Sub(to.third) <= newsWithin {
+		return
+	}
+	to.attempts[sn.Request] = struct{}{}
+	ju.look(CheckFatal, len(to.attempts) <= threeAttempts, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
+		return fmt.Sprintf("%d attempts of %s reached servers later than %v after the third had ended, %d ended in all", len(to.attempts), sn.Path, newsWithin, to.ended)
+	})
+}
+
+// quarantined is in the body of an answer that refuses a request as one under which
+// servers end.
+var quarantined = fmt.Appendf(nil, `"Code":%d,`, result.NotRunQuarantined)
+
+// blame checks that a request which harms nobody is not refused as one that does, and
+// counts a look where one that does is refused.
+func (ju *Judge) blame(at time.Time, rq *request, an emulate.Answer) {
+	if !bytes.Contains(an.Body, quarantined) {
+		return
+	}
+	ju.look(CheckBlame, strings.Contains(rq.Path, emulate.FatalText), Breach{Request: rq.ID, Instance: rq.Entry}, at, func() string {
+		return "refused as a request under which servers end"
+	})
+}
+
+// fallen is a server that ended under a request.
+type fallen struct {
+	position int
+	se       *emulate.Server
+	at       time.Time
+}
+
+// fell notes that a server has ended under a request.
+func (fl *fleet) fell(position int, se *emulate.Server) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.ended = append(fl.ended, fallen{position, se, fl.ts.Now()})
+}
+
+// revive puts new servers in the places of those that ended long enough ago under a
+// request, and returns how many are still to come.
+func (fl *fleet) revive() (int, error) {
+	fl.mu.Lock()
+	var due, left []fallen
+	for _, fa := range fl.ended {
+		if fl.ts.Now().Sub(fa.at) >= downFor {
+			due = append(due, fa)
+		} else {
+			left = append(left, fa)
+		}
+	}
+	fl.ended = left
+	fl.mu.Unlock()
+	var errs []error
+	for _, fa := range due {
+		errs = append(errs, fl.replace(fa.position, fa.se, ""))
+	}
+	return len(left), errors.Join(errs...)
+}
+
+// fatal has a caller send a request that ends each server that runs it, at one instance
+// after the other, until long after all instances must know it, while others ask a
+// popular one beside it.
+func (pl *player) fatal(ctx context.Context, fa Fault) error {
+	group := groups[int(fa.Value*float64(len(groups)))%len(groups)]
+	mark := strconv.FormatInt(int64(fa.At), 36)
+	until := pl.ts.Now().Add(fa.For + newsWithin)
+	var wg sync.WaitGroup
+	wg.Go(func() { pl.repeat(ctx, "popular-"+mark, group, until, popularEvery) })
+	pl.repeat(ctx, emulate.FatalText+"-"+mark, group, until, fatalEvery)
+	wg.Wait()
+	for ctx.Err() == nil {
+		left, err := pl.fl.revive()
+		if left == 0 || err != nil {
+			return err
+		}
+		_ = pl.ts.Sleep(ctx, fatalEvery)
+	}
+	return nil
+}
+
+// repeat sends a request of one content at one instance after the other, and revives
+// servers meanwhile.
+func (pl *player) repeat(ctx context.Context, content, group string, until time.Time, every time.Duration) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for nth := 0; ctx.Err() == nil && pl.ts.Now().Before(until); nth++ {
+		list := *pl.ru.at.Load()
+		rq := Request{
+			ID: fmt.Sprintf("%s-%s-%d", content, group, nth), Group: group, Path: "/" + group + "/" + content, Entry: list[nth%len(list)],
+		}
+		wg.Go(func() {
+			pl.ju.Sent(rq)
+			if an, err := pl.ru.ca.Ask(ctx, rq.Entry, emulate.Question{ID: rq.ID, Host: host, Path: rq.Path, Timeout: pl.ru.timeout(group)}); err == nil {
+				pl.ju.Answered(pl.ts.Now(), rq.ID, an)
+			}
+		})
+		_ = pl.ts.Sleep(ctx, every)
+		if _, err := pl.fl.revive(); err != nil {
+			return
+		}
+	}
+}
--- a/emulate/soak/judge.go
+++ b/emulate/soak/judge.go
@@ -24,6 +24,8 @@
 	CheckAccepted    Check = "accepted"    // What was acknowledged is read back.
 	CheckRefused     Check = "refused"     // An invalid configuration is refused, one that is sent again is taken.
 	CheckBudget      Check = "budget"      // Arrivals beyond the first stay within the budget in any window, for each service.
+	CheckFatal       Check = "fatal"       // A request under which three servers have ended reaches servers in three more attempts at most.
+	CheckBlame       Check = "blame"       // No other request is refused as one under which servers end.
 	CheckConnections Check = "connections" // A backend server's connections stay within its limit.
 )
 
@@ -31,7 +33,7 @@
 func ChecksInOrder() []Check {
 	return []Check{
 		CheckStamp, CheckShards, CheckTwice, CheckSet, CheckRecords, CheckNotRun, CheckOnce,
-		CheckDrain, CheckVersion, CheckAccepted, CheckRefused, CheckBudget, CheckConnections,
+		CheckDrain, CheckVersion, CheckAccepted, CheckRefused, CheckBudget, CheckConnections, CheckFatal, CheckBlame,
 	}
 }
 
@@ -101,6 +103,7 @@
 	leaving      map[string]time.Time
 	resets       map[string]int
 	budgets      map[string]*arrivals
+	tolls        map[string]*toll // tolls are those of requests under which servers end, by path.
 	firsts       int
 	extras       int
 }
@@ -118,6 +121,7 @@
 		cf: cf, under: under, tallies: make(map[Check]*Tally), servers: make(map[string]string),
 		data: make(map[uint64]string), entries: make(map[string]*entryLife), requests: make(map[string]*request),
 		leaving: make(map[string]time.Time), resets: make(map[string]int), budgets: make(map[string]*arrivals),
+		tolls: make(map[string]*toll),
 	}
 	for _, ck := range ChecksInOrder() {
 		ju.tallies[ck] = &Tally{Check: ck}
--- a/emulate/soak/judge_test.go
+++ b/emulate/soak/judge_test.go
@@ -51,6 +51,17 @@
 	rc.ju.Saw(emulate.Seen{Kind: kind, At: at(millis), Server: server, Service: server[:1], Request: id, Expected: server})
 }
 
+// fatal tells of what a server saw of a request that ends those that run it.
+func (rc *recorded) fatal(millis int, kind emulate.SeenKind, id string) {
+	rc.ju.Saw(emulate.Seen{Kind: kind, At: at(millis), Server: "p1", Service: "p", Request: id, Path: "/plain/fatal-1"})
+}
+
+// refusedAsFatal tells of a request that is refused as one under which servers end.
+func (rc *recorded) refusedAsFatal(id, path string) {
+	rc.ju.Sent(Request{ID: id, Group: groupPlain, Path: path, Entry: "entry"})
+	rc.ju.Answered(at(22000), id, emulate.Answer{Status: 503, Body: []byte(`{"Code":109,"Detail":""}`)})
+}
+
 // merged tells of a whole merged answer with the parts of servers.
 func (rc *recorded) merged(millis int, id string, missing int, servers ...string) {
 	rc.sent(id, groupMerged)
@@ -117,6 +128,14 @@
 	rc.saw(16603, emulate.SeenArrived, "b2", "m1")
 	rc.saw(16604, emulate.SeenAccepted, "b1", "")
 	rc.saw(16605, emulate.SeenReset, "b1", "")
+	for nth := range threeServers {
+		rc.fatal(17000+nth, emulate.SeenEnded, "f0")
+	}
+	rc.fatal(21002, emulate.SeenArrived, "f1") // All instances need not know yet.
+	for _, id := range []string{"f2", "f3", "f4", "f4"} {
+		rc.fatal(21003, emulate.SeenArrived, id)
+	}
+	rc.refusedAsFatal("f5", "/plain/fatal-1")
 	rc.ju.Acknowledged(3)
 	rc.ju.Acknowledged(1)
 	rc.ju.ReadBack(at(17000), rc.ju.Newest(), 3, []byte("three"))
@@ -234,6 +253,15 @@
 				rc.ju.Saw(emulate.Seen{Kind: emulate.SeenArrived, At: at(ix), Server: []string{"a1", "b1", "c1", "d1"}[ix], Service: []string{"a", "b", "c", "d"}[ix], Request: "p", Expected: "p1"})
 			}
 		}},
+		{"a fourth attempt after three servers have ended", CheckFatal, func(rc *recorded) {
+			for nth := range threeServers {
+				rc.fatal(nth, emulate.SeenEnded, "f0")
+			}
+			for _, id := range []string{"f1", "f2", "f3", "f4"} {
+				rc.fatal(4003, emulate.SeenArrived, id)
+			}
+		}},
+		{"a popular request is refused as one that ends servers", CheckBlame, func(rc *recorded) { rc.refusedAsFatal("p", "/plain/popular-1") }},
 		{"connections beyond the limit", CheckConnections, func(rc *recorded) {
 			rc.saw(10, emulate.SeenReset, "a1", "")
 			rc.saw(20, emulate.SeenReset, "a1", "")
--- a/emulate/soak/player.go
+++ b/emulate/soak/player.go
@@ -20,6 +20,7 @@
 	fl *fleet
 	op *operator
 	ju *Judge
+	ru *runner
 	ts *timer.Service
 
 	mu       sync.Mutex
@@ -82,6 +83,8 @@
 		return pl.entry(ctx, fa)
 	case partShards:
 		return pl.repartition(ctx)
+	case partRequest:
+		return pl.fatal(ctx, fa)
 	case partOperator:
 		return pl.operate(ctx, fa)
 	}
--- a/emulate/soak/run.go
+++ b/emulate/soak/run.go
@@ -99,7 +99,8 @@
 	pl.ju = ju
 	pl.fl = &fleet{cf: cf, ss: ss, ju: ju, ts: ts, network: anyNetwork()}
 	pl.op = &operator{cf: cf, ju: ju, ts: ts, co: co}
-	return &runner{cf: cf, ts: ts, lo: lo, ca: emulate.NewCaller(), ju: ju, pl: pl, st: newFigures()}
+	pl.ru = &runner{cf: cf, ts: ts, lo: lo, ca: emulate.NewCaller(), ju: ju, pl: pl, st: newFigures()}
+	return pl.ru
 }
 
 // form starts the backend servers, has the first configuration accepted and waits
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -36,6 +36,7 @@
 	ConfigAgain   Kind = "ConfigAgain"   // ConfigAgain sends the newest acknowledged configuration again.
 	ConfigInvalid Kind = "ConfigInvalid" // ConfigInvalid sends one that must be refused.
 	ServerAgain   Kind = "ServerAgain"   // ServerAgain ends a backend server at once; it starts again under its id.
+	RequestFatal  Kind = "RequestFatal"  // RequestFatal is a request that ends each server that runs it, sent again and again.
 	ControlHang   Kind = "ControlHang"   // ControlHang makes a control instance stand still with its connections open.
 )
 
@@ -46,7 +47,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, ControlHang, // At the end, so that seeds of before draw what they drew.
+		ServerAgain, ControlHang, RequestFatal, // At the end, so that seeds of before draw what they drew.
 	}
 }
 
@@ -59,6 +60,7 @@
 	partServer
 	partShards
 	partOperator
+	partRequest
 )
 
 func (ki Kind) part() part {
@@ -69,6 +71,8 @@
 		return partEntry
 	case Repartition:
 		return partShards
+	case RequestFatal:
+		return partRequest
 	case ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid:
 		return partOperator
 	default:
@@ -95,6 +99,8 @@
 		return stopWithin
 	case ServerDrain:
 		return cf.Checks.Drain + lingerFor
+	case RequestFatal:
+		return newsWithin + revivedWithin
 	case Repartition:
 		return applyWithin + cf.Checks.Drain + lingerFor
 	default:
@@ -195,7 +201,7 @@
 			continue
 		}
 		switch fa.Kind.part() {
-		case partShards:
+		case partShards, partRequest:
 			return false
 		case partEntry:
 			entries++
--- a/emulate/soak/schedule_test.go
+++ b/emulate/soak/schedule_test.go
@@ -58,7 +58,7 @@
 
 // ill returns what is wrong with a fault that comes after others.
 func ill(cf Settings, fa Fault, before []Fault) string {
-	target := map[part]int{partControl: cf.Tier.Controls, partEntry: cf.Tier.Entries, partServer: cf.positions(), partShards: 1, partOperator: 1}
+	target := map[part]int{partControl: cf.Tier.Controls, partEntry: cf.Tier.Entries, partServer: cf.positions(), partShards: 1, partOperator: 1, partRequest: 1}
 	switch {
 	case cf.Faults.Weights[fa.Kind] == 0:
 		return "its kind has no weight"
