feed: an instance logs what it hears of suspects only where it is new

All control instances tell an entry instance the same: nine lines for each suspected request at nine control instances, which share a bound of five lines a second with those about backend servers. Now the first one alone has a line.

--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -55,8 +55,8 @@
 	// OutliersFound gives what all entry instances together saw of backend servers.
 	OutliersFound(fis []outlier.Finding)
 	// SuspectsHeard gives what a control instance knows of requests under which servers
-	// ended.
-	SuspectsHeard(control string, rcs []quarantine.Record)
+	// ended. It returns what of it was new.
+	SuspectsHeard(control string, rcs []quarantine.Record) []quarantine.Record
 }
 
 // SubscriberConfig is what a subscriber needs to know.
--- a/feed/suspects.go
+++ b/feed/suspects.go
@@ -7,17 +7,14 @@
 )
 
 // Suspect takes in what another instance knows of requests under which servers ended, and
-// tells all what of it is new. Each instance that may serve such a request must know
+// tells all what of it is new, which is returned. Each instance that may serve such a request must know
 // before the request comes to it: a caller that was answered with a failure comes again
 // within milliseconds, and not to the same instance.
-func (pu *Publisher) Suspect(from string, rcs []quarantine.Record) {
-	if len(rcs) == 0 {
-		return
-	}
+func (pu *Publisher) Suspect(from string, rcs []quarantine.Record) []quarantine.Record {
 	now := pu.ts.Now()
 	news := pu.qa.Hear(now, rcs)
 	if len(news) == 0 {
-		return
+		return nil
 	}
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
@@ -26,6 +23,7 @@
 		pu.pending.suspects[rc.Key] = rc
 	}
 	pu.arm(now)
+	return news
 }
 
 // SendSuspects tells all control instances of requests under which servers ended.
@@ -45,11 +43,11 @@
 	if len(rcs) == 0 {
 		return
 	}
+	// All control instances tell the same, and only the first says anything new.
 	now := su.ts.Now()
-	for _, rc := range rcs {
+	for _, rc := range su.ob.SuspectsHeard(so.name, rcs) {
 		su.lo.info(now, "suspect-heard", append(suspectFields(rc), zap.String("Control", so.name))...)
 	}
-	su.ob.SuspectsHeard(so.name, rcs)
 }
 
 func suspectFields(rc quarantine.Record) []zap.Field {
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -38,7 +38,7 @@
 
 func (*eye) OutliersFound([]outlier.Finding) {}
 
-func (*eye) SuspectsHeard(string, []quarantine.Record) {}
+func (*eye) SuspectsHeard(string, []quarantine.Record) []quarantine.Record { return nil }
 
 // await takes what an observer is told until it is what is wanted.
 func await[T any](c *qt.C, from <-chan T, done func(T) bool) {
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -438,8 +438,8 @@
 	en.found = append(en.found, fis...)
 }
 
-func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) {
-	en.qa.Hear(time.Now(), rcs)
+func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) []quarantine.Record {
+	return en.qa.Hear(time.Now(), rcs)
 }
 
 // findings returns what the entry instance was told of outliers.
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -165,7 +165,9 @@
 func (en *entry) OutliersFound(fis []outlier.Finding) { en.re.Hear(en.ts.Now(), fis) }
 
 // SuspectsHeard takes over what all instances know of requests under which servers ended.
-func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) { en.qa.Hear(en.ts.Now(), rcs) }
+func (en *entry) SuspectsHeard(_ string, rcs []quarantine.Record) []quarantine.Record {
+	return en.qa.Hear(en.ts.Now(), rcs)
+}
 
 // tellSuspects tells at once of requests under which servers ended here, until the context
 // ends.
--- a/tier/others.go
+++ b/tier/others.go
@@ -16,7 +16,7 @@
 type others struct {
 	// suspect takes in what another control instance knows of requests under which servers
 	// ended.
-	suspect func(control string, rcs []quarantine.Record)
+	suspect func(control string, rcs []quarantine.Record) []quarantine.Record
 
 	mu      sync.Mutex
 	servers map[string][]registry.Server
@@ -56,7 +56,9 @@
 
 // SuspectsHeard takes over what another control instance knows of requests under which
 // servers ended: an entry instance may have a link to one of the two alone.
-func (ot *others) SuspectsHeard(control string, rcs []quarantine.Record) { ot.suspect(control, rcs) }
+func (ot *others) SuspectsHeard(control string, rcs []quarantine.Record) []quarantine.Record {
+	return ot.suspect(control, rcs)
+}
 
 // OutliersFound ignores what entry instances are told.
 func (*others) OutliersFound([]outlier.Finding) {}
