wal: the count of openings is replaced as other files are

What was found is taken over only once that is durable. The crash tests of the package, which cut each operation, pass unchanged.

--- a/wal/open.go
+++ b/wal/open.go
@@ -19,7 +19,6 @@
 const (
 	lockName          = "LOCK"
 	identityName      = "identity"
-	identityTemporary = "identity.new"
 	snapshotName      = "snapshot"
 	snapshotTemporary = "snapshot.new"
 	segmentPrefix     = "segment-"
@@ -218,15 +217,15 @@
 // anyone.
 func (op *opening) writeIdentity(disk string, boot uint64) error {
 	re := record{Identity: &identityRecord{Disk: disk, Boot: boot}}
-	temporary := filepath.Join(op.jo.dir, identityTemporary)
-	if err := writeFile(op.jo.fsys, temporary, re); err != nil {
+	data, err := re.encode(0)
+	if err != nil {
 		return err
 	}
-	if err := op.jo.fsys.Rename(temporary, filepath.Join(op.jo.dir, identityName)); err != nil {
+	if err := Replace(op.jo.fsys, op.jo.dir, identityName, data); err != nil {
 		return err
 	}
 	op.found.DiskID, op.found.Boot = disk, boot
-	return op.jo.fsys.SyncDir(op.jo.dir)
+	return nil
 }
 
 // writeFile writes and syncs a file of one record.
