roster: the addresses of a group say by themselves whether there are any

Addresses returned a truth beside the list that was true just if the list held something, and its one caller ignored it. The tests look at the list, to the same values.

--- a/roster/groups.go
+++ b/roster/groups.go
@@ -133,16 +133,16 @@
 // the fewest.
 func (gs Groups) Sharers() int { return gs.sharers }
 
-// Addresses returns the addresses that a caller of a group in a data centre is led to. It
-// reports false if all instances may serve it, also those of other data centres.
-func (gs Groups) Addresses(key, dataCentre string) ([]string, bool) {
+// Addresses returns the addresses that a caller of a group in a data centre is led to;
+// none if all instances may serve it, also those of other data centres.
+func (gs Groups) Addresses(key, dataCentre string) []string {
 	chosen := gs.chosen[place{key, dataCentre}]
 	if len(chosen) == 0 || len(chosen) == gs.ready[dataCentre] {
-		return nil, false
+		return nil
 	}
 	out := make([]string, len(chosen))
 	for ix, in := range chosen {
 		out[ix] = in.Address
 	}
-	return out, true
+	return out
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -140,9 +140,7 @@
 		gs = gs.With(now, groups, fleet(centres, load))
 	}
 	count := func(key, centre string) int {
-		ads, ok := gs.Addresses(key, centre)
-		c.Check(ok, qt.Equals, len(ads) > 0)
-		return len(ads)
+		return len(gs.Addresses(key, centre))
 	}
 	look(1)
 	c.Assert(count("wide", "a"), qt.Equals, 32)
@@ -173,9 +171,7 @@
 	for _, here := range []map[string]int{{}, {"b": 5}, {"b": 41}, centres} {
 		back = back.With(start.Add(time.Minute), groups, fleet(here, 0))
 	}
-	ads, ok := back.Addresses("wide", "a")
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(ads, qt.HasLen, 17)
+	c.Assert(back.Addresses("wide", "a"), qt.HasLen, 17)
 	c.Assert(back.Note(), qt.DeepEquals, gs.Note())
 	c.Assert(Restore(start, []Noted{{Key: "wide", DataCentre: "a"}}).Note(), qt.HasLen, 0)
 }
@@ -187,8 +183,7 @@
 	groups := []Group{{Key: "wide", Limit: 123}}
 	look := func(gs Groups, at time.Time, centres map[string]int) (Groups, int) {
 		gs = gs.With(at, groups, fleet(centres, 2)) // They carry more than they should.
-		ads, _ := gs.Addresses("wide", "a")
-		return gs, len(ads)
+		return gs, len(gs.Addresses("wide", "a"))
 	}
 	gs, count := look(Groups{}, start, map[string]int{"a": 80, "b": 80})
 	c.Assert(count, qt.Equals, 49)
@@ -205,8 +200,7 @@
 	for ix := range 30 {
 		gs = gs.With(start.Add(time.Duration(ix)*shrinkPause), []Group{{Key: "wide", Limit: 41}}, fleet(map[string]int{"a": 3, "b": 3, "c": 3}, 0))
 	}
-	_, ok := gs.Addresses("wide", "a")
-	c.Assert(ok, qt.IsFalse)
+	c.Assert(gs.Addresses("wide", "a"), qt.HasLen, 0)
 	c.Assert(gs.Sharers(), qt.Equals, 9)
 }
 
--- a/tier/roster.go
+++ b/tier/roster.go
@@ -139,7 +139,7 @@
 	if !ok {
 		return nil
 	}
-	list, _ := de.chosen.Addresses(gr.Key, dataCentre)
+	list := de.chosen.Addresses(gr.Key, dataCentre)
 	return slices.DeleteFunc(list, func(address string) bool {
 		return !slices.ContainsFunc(ready, func(en feed.Entry) bool { return en.Address == address })
 	})
