tier: a test of the note of suspected requests

All instances may lose power a moment after the third server has ended. The note is written without waiting for the next look, and the time without power counts for how long the request is refused, probed and remembered.

--- a/tier/memory_test.go
+++ b/tier/memory_test.go
@@ -79,6 +79,37 @@
 	})
 }
 
+// All instances lose power a moment after a request has ended its third server. It comes
+// again to instances that have just started: what was known of it is noted at once, and
+// the time without power counts.
+func TestMemoryOfSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		dir := filepath.Join(t.TempDir(), "data")
+		me := newMemory(dir)
+		me.restore(time.Second)
+		go func() { _ = me.serve(t.Context(), 7740) }()
+		time.Sleep(memoryPeriod + memoryPeriod/2)
+		key := quarantine.Content{URI: "/a"}.Key()
+		for nth, server := range []string{"a", "b", "c"} {
+			now := me.ts.Now()
+			me.qa.Lose(now, quarantine.Loss{Key: key, Attempt: server, Began: now, Probe: nth > 0, Servers: []string{server}})
+		}
+		synctest.Wait() // No time passes.
+
+		for _, tt := range []struct {
+			after time.Duration
+			want  quarantine.Verdict
+		}{{time.Second, quarantine.Refuse}, {9 * time.Minute, quarantine.Refuse}, {2 * time.Minute, quarantine.Probe}, {10 * time.Minute, quarantine.Pass}} {
+			time.Sleep(tt.after)
+			me = newMemory(dir)
+			me.restore(time.Second)
+			ve, _ := me.qa.Judge(me.ts.Now(), key)
+			c.Check(ve, qt.Equals, tt.want, qt.Commentf("%v", tt.after))
+		}
+	})
+}
+
 // The note can't be read. The instance starts all the same, and hears the backend
 // servers as they announce themselves.
 func TestMemoryDamaged(t *testing.T) {
