quarantine: requests with the fewest losses are dropped first

Found by reading: a thousand requests with one loss each pushed out one with two, which then ended a server of each shard once more. TestBounded has such a request and failed before.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -212,12 +213,13 @@
 	}
 }
 
-// evict drops the entry that matters least: of the mildest verdict, the oldest. Nobody
-// can push out a refused request by making many others suspect.
+// evict drops the entry that matters least: of those with the fewest losses, the oldest.
+// Nobody can push out a refused request, or one that is nearly, by making many others
+// suspect.
 func (bo *Book) evict() {
 	var least *entry
 	for _, en := range bo.entries {
-		if least == nil || en.Verdict() < least.Verdict() || en.Verdict() == least.Verdict() && en.at.Before(least.at) {
+		if least == nil || cmp.Or(cmp.Compare(len(en.Losses), len(least.Losses)), en.at.Compare(least.at)) < 0 {
 			least = en
 		}
 	}
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -147,17 +147,20 @@
 }
 
 // Somebody sends requests that are cut off by the thousand. Memory stays bounded, and the
-// request that is refused stays refused.
+// request that is refused stays refused, as does what is known of one that nearly is.
 func TestBounded(t *testing.T) {
 	c := qt.New(t)
 	bo := New()
 	refused(bo, at(0), key(0))
+	bo.Lose(at(0), first(key(1), "a"))
+	bo.Lose(at(0), probe(key(1), at(0), "b"))
 	for nth := range 3 * mostRecords {
-		bo.Lose(at(time.Second), first(key(1+nth), "a"))
+		bo.Lose(at(time.Second), first(key(2+nth), "a"))
 	}
 	c.Assert(bo.Records(at(time.Second)), qt.HasLen, mostRecords)
 	c.Assert(len(bo.News(at(time.Second))) <= mostRecords, qt.IsTrue)
 	c.Assert(verdict(bo, at(time.Second), key(0)), qt.Equals, Refuse)
+	c.Assert(verdict(bo, at(time.Second), key(1)), qt.Equals, Probe)
 	c.Assert(bo.Count(Refuse), qt.Equals, 1)
 }
 
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -91,12 +91,11 @@
 // failure proves nothing: a server may also give it before it runs the request, or at the
 // deadline, shortly before it would end.
 const (
-	// fewBroken is how many servers may break off before the others are asked one at a
-	// time.
-	fewBroken = 2
-	// fewHedges is how many hedges there may be.
+	// fewHedges is how many hedges there may be until then.
 	fewHedges = 3
-	// mostBroken is how many may before no further one is asked.
+	// fewBroken is how many servers may break off until then before the others are asked one
+	// at a time, and mostBroken how many before no further one is asked.
+	fewBroken  = 2
 	mostBroken = 3
 )
 
