quarantine, tests, soak: plain names, and a counter that nobody read is gone

Read as a newcomer: mortals, tolls, condemn and revive were pictures of our own; they are crashServers, harms, untilRefused and restartCrashed now. Book counted its changes for nobody.

--- a/emulate/soak/fatal.go
+++ b/emulate/soak/fatal.go
@@ -20,8 +20,8 @@
 	newsWithin = 4 * time.Second
 	// downFor is how long a server is away that has ended under a request.
 	downFor = time.Second
-	// revivedWithin is how long after the last attempt the last such server is back.
-	revivedWithin = 2 * time.Second
+	// restartedWithin is how long after the last attempt the last such server is back.
+	restartedWithin = 2 * time.Second
 	// fatalEvery is how often the caller of such a request sends it again, and
 	// popularEvery how often others ask the same beside it.
 	fatalEvery   = 250 * time.Millisecond
@@ -32,8 +32,8 @@
 	threeAttempts = 3
 )
 
-// toll is what a request did to servers.
-type toll struct {
+// harm is what a request did to servers.
+type harm struct {
 	ended    int
 	third    time.Time           // third is when the third one ended.
 	attempts map[string]struct{} // attempts are those that reached a server later than newsWithin after that.
@@ -42,26 +42,26 @@
 // ended notes that a server has ended under a request. The third end counts as a look:
 // from then on each arrival is judged, and at best none comes.
 func (ju *Judge) ended(sn emulate.Seen) {
-	to := ju.tolls[sn.Path]
-	if to == nil {
-		to = &toll{attempts: make(map[string]struct{})}
-		ju.tolls[sn.Path] = to
+	ha := ju.harms[sn.Path]
+	if ha == nil {
+		ha = &harm{attempts: make(map[string]struct{})}
+		ju.harms[sn.Path] = ha
 	}
-	if to.ended++; to.ended == threeServers {
-		to.third = sn.At
+	if ha.ended++; ha.ended == threeServers {
+		ha.third = sn.At
 		ju.look(CheckFatal, true, Breach{}, sn.At, nil)
 	}
 }
 
 // fatal checks that a request under which servers ended reaches no more of them.
 func (ju *Judge) fatal(sn emulate.Seen) {
-	to := ju.tolls[sn.Path]
-	if to == nil || to.ended < threeServers || sn.At.Sub(to.third) <= newsWithin {
+	ha := ju.harms[sn.Path]
+	if ha == nil || ha.ended < threeServers || sn.At.Sub(ha.third) <= newsWithin {
 		return
 	}
-	to.attempts[sn.Request] = struct{}{}
-	ju.look(CheckFatal, len(to.attempts) <= threeAttempts, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
-		return fmt.Sprintf("%d attempts of %s reached servers later than %v after the third had ended, %d ended in all", len(to.attempts), sn.Path, newsWithin, to.ended)
+	ha.attempts[sn.Request] = struct{}{}
+	ju.look(CheckFatal, len(ha.attempts) <= threeAttempts, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
+		return fmt.Sprintf("%d attempts of %s reached servers later than %v after the third had ended, %d ended in all", len(ha.attempts), sn.Path, newsWithin, ha.ended)
 	})
 }
 
@@ -80,25 +80,25 @@
 	})
 }
 
-// fallen is a server that ended under a request.
-type fallen struct {
+// crashed is a server that ended under a request.
+type crashed struct {
 	position int
 	se       *emulate.Server
 	at       time.Time
 }
 
-// fell notes that a server has ended under a request.
-func (fl *fleet) fell(position int, se *emulate.Server) {
+// noteCrash notes that a server has ended under a request.
+func (fl *fleet) noteCrash(position int, se *emulate.Server) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.ended = append(fl.ended, fallen{position, se, fl.ts.Now()})
+	fl.ended = append(fl.ended, crashed{position, se, fl.ts.Now()})
 }
 
-// revive puts new servers in the places of those that ended long enough ago under a
+// restartCrashed puts new servers in the places of those that ended long enough ago under a
 // request, and returns how many are still to come.
-func (fl *fleet) revive() (int, error) {
+func (fl *fleet) restartCrashed() (int, error) {
 	fl.mu.Lock()
-	var due, left []fallen
+	var due, left []crashed
 	for _, fa := range fl.ended {
 		if fl.ts.Now().Sub(fa.at) >= downFor {
 			due = append(due, fa)
@@ -127,7 +127,7 @@
 	pl.repeat(ctx, emulate.FatalText+"-"+mark, group, until, fatalEvery)
 	wg.Wait()
 	for ctx.Err() == nil {
-		left, err := pl.fl.revive()
+		left, err := pl.fl.restartCrashed()
 		if left == 0 || err != nil {
 			return err
 		}
@@ -136,7 +136,7 @@
 	return nil
 }
 
-// repeat sends a request of one content at one instance after the other, and revives
+// repeat sends a request of one content at one instance after the other, and restarts
 // servers meanwhile.
 func (pl *player) repeat(ctx context.Context, content, group string, until time.Time, every time.Duration) {
 	var wg sync.WaitGroup
@@ -153,7 +153,7 @@
 			}
 		})
 		_ = pl.ts.Sleep(ctx, every)
-		if _, err := pl.fl.revive(); err != nil {
+		if _, err := pl.fl.restartCrashed(); err != nil {
 			return
 		}
 	}
--- a/emulate/soak/fleet.go
+++ b/emulate/soak/fleet.go
@@ -34,7 +34,7 @@
 	mu        sync.Mutex
 	positions []*emulate.Server
 	started   int
-	ended     []fallen // ended are those that ended under a request and were not replaced yet.
+	ended     []crashed // ended are those that ended under a request and were not replaced yet.
 }
 
 // anyNetwork returns a loopback address that hardly anybody else uses.
@@ -74,7 +74,7 @@
 		Slots:      se.Slots, Queue: se.Queue, Connections: se.Connections, ConnectionCost: se.ConnectionCost,
 		Work: se.Work, Pause: se.Pause, Records: se.Records, ReportLoad: true,
 		DrainFor: fl.cf.Checks.Drain + lingerFor, Seed: fl.cf.Seed*mostServers + uint64(number), Note: fl.ju.Saw,
-		Ended: func(se *emulate.Server) { fl.fell(nth, se) },
+		Ended: func(se *emulate.Server) { fl.noteCrash(nth, se) },
 	}
 	if len(se.Paces) > 0 {
 		cf.Pace = se.Paces[nth%len(se.Paces)]
--- a/emulate/soak/judge.go
+++ b/emulate/soak/judge.go
@@ -103,7 +103,7 @@
 	leaving      map[string]time.Time
 	resets       map[string]int
 	budgets      map[string]*arrivals
-	tolls        map[string]*toll // tolls are those of requests under which servers end, by path.
+	harms        map[string]*harm // harms are those of requests under which servers end, by path.
 	firsts       int
 	extras       int
 }
@@ -121,7 +121,7 @@
 		cf: cf, under: under, tallies: make(map[Check]*Tally), servers: make(map[string]string),
 		data: make(map[uint64]string), entries: make(map[string]*entryLife), requests: make(map[string]*request),
 		leaving: make(map[string]time.Time), resets: make(map[string]int), budgets: make(map[string]*arrivals),
-		tolls: make(map[string]*toll),
+		harms: make(map[string]*harm),
 	}
 	for _, ck := range ChecksInOrder() {
 		ju.tallies[ck] = &Tally{Check: ck}
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -100,7 +100,7 @@
 	case ServerDrain:
 		return cf.Checks.Drain + lingerFor
 	case RequestFatal:
-		return newsWithin + revivedWithin
+		return newsWithin + restartedWithin
 	case Repartition:
 		return applyWithin + cf.Checks.Drain + lingerFor
 	default:
--- a/feed/suspects_test.go
+++ b/feed/suspects_test.go
@@ -9,22 +9,22 @@
 	"balsamwinch.example/quarantine"
 )
 
-// guilty is a request under which servers end.
-var guilty = quarantine.Content{URI: "/guilty"}.Key()
+// fatal is a request under which servers end.
+var fatal = quarantine.Content{URI: "/fatal"}.Key()
 
 // lose makes an entry instance see an attempt that servers ended under, and tell.
 func (en *entry) lose(probe bool, attempt string, servers ...string) {
 	now := en.wo.ts.Now()
-	en.qa.Lose(now, quarantine.Loss{Key: guilty, Attempt: attempt, Began: now, Probe: probe, Servers: servers})
+	en.qa.Lose(now, quarantine.Loss{Key: fatal, Attempt: attempt, Began: now, Probe: probe, Servers: servers})
 	en.su.SendSuspects(en.qa.News(now))
 }
 
 func (en *entry) verdict() quarantine.Verdict {
-	ve, _ := en.qa.Judge(en.wo.ts.Now(), guilty)
+	ve, _ := en.qa.Judge(en.wo.ts.Now(), fatal)
 	return ve
 }
 
-// check fails the test unless all entry instances have a verdict on the guilty request.
+// check fails the test unless all entry instances have a verdict on the fatal request.
 func check(c *qt.C, want quarantine.Verdict, ens ...*entry) {
 	c.Helper()
 	for _, en := range ens {
@@ -46,7 +46,7 @@
 		wo.after(soon)
 		check(c, quarantine.Refuse, ens...)
 		now := wo.ts.Now()
-		c.Assert(ens[3].qa.Answered(now, guilty), qt.IsTrue)
+		c.Assert(ens[3].qa.Answered(now, fatal), qt.IsTrue)
 		ens[3].su.SendSuspects(ens[3].qa.News(now))
 		wo.after(soon)
 		check(c, quarantine.Pass, ens...)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -11,8 +11,8 @@
 	"balsamwinch.example/route"
 )
 
-// accuse makes a gateway suspect a request, or refuse it after three losses.
-func (rg *rig) accuse(uri string, losses int) {
+// suspect makes a gateway suspect a request, or refuse it after three losses.
+func (rg *rig) suspect(uri string, losses int) {
 	key := quarantine.Content{Method: http.MethodGet, Host: host, URI: uri}.Key()
 	for nth := range losses {
 		now := rg.ts.Now()
@@ -27,7 +27,7 @@
 		rg := newRig(t, nw, setup{})
 		rg.serve("s", 2)
 		rg.table(route.Route{Prefix: "/", MaxAttempts: 2, Targets: to("s")})
-		rg.accuse("/a?q=1", 3)
+		rg.suspect("/a?q=1", 3)
 		an := rg.get("/a?q=1", http.StatusServiceUnavailable)
 		qt.Assert(t, string(an.body), qt.Equals, `{"Code":109,"Detail":"backend servers end under this request"}`)
 		after, err := strconv.ParseFloat(an.header.Get("Retry-After"), 64)
@@ -49,7 +49,7 @@
 			rg.serve(sh, 2)
 		}
 		rg.table(route.Route{Prefix: "/", MaxAttempts: 2, Shards: shs, Merge: route.Merge{TopK: 5, LeastShare: 1}})
-		rg.accuse("/a", 2)
+		rg.suspect("/a", 2)
 		an := rg.get("/a", http.StatusOK)
 		checkMissing(t, an, 0)
 		ars := rg.le.of(an.id)
@@ -68,7 +68,7 @@
 			rg.serve(sh, 3, resets)
 		}
 		rg.table(route.Route{Prefix: "/", MaxAttempts: 3, Shards: shs, Merge: route.Merge{TopK: 5, LeastShare: 0.4}})
-		rg.accuse("/a", 1)
+		rg.suspect("/a", 1)
 		an := rg.get("/a", http.StatusBadGateway)
 		qt.Assert(t, rg.le.of(an.id), qt.HasLen, 1)
 	})
@@ -95,7 +95,7 @@
 		rg := newRig(t, nw, setup{})
 		rg.serve("s", 1, fails(http.StatusGatewayTimeout))
 		rg.table(route.Route{Prefix: "/", MaxAttempts: 1, Targets: to("s")})
-		rg.accuse("/a", 2)
+		rg.suspect("/a", 2)
 		rg.get("/a", http.StatusGatewayTimeout)
 		qt.Assert(t, rg.gw.qa.Count(quarantine.Probe), qt.Equals, 1)
 	})
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -29,7 +29,6 @@
 // ended, and a popular one that a lost rack took along, run again after one probe.
 type Book struct {
 	size     atomic.Int64
-	changes  atomic.Uint64
 	pressing chan struct{}
 
 	mu       sync.Mutex
@@ -50,9 +49,6 @@
 // Empty reports whether nothing is held against any request. It takes no lock.
 func (bo *Book) Empty() bool { return bo.size.Load() == 0 }
 
-// Changes returns a number that grows with each change.
-func (bo *Book) Changes() uint64 { return bo.changes.Load() }
-
 // Pressing gets a value when something has changed.
 func (bo *Book) Pressing() <-chan struct{} { return bo.pressing }
 
@@ -190,7 +186,6 @@
 
 // changed notes that something has changed.
 func (bo *Book) changed() {
-	bo.changes.Add(1)
 	select {
 	case bo.pressing <- struct{}{}:
 	default:
--- a/tier/crash_test.go
+++ b/tier/crash_test.go
@@ -13,146 +13,146 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// guilty is in the path of the request that ends whoever runs it.
-const guilty = "guilty"
+// fatal is in the path of the request that ends whoever runs it.
+const fatal = "fatal"
 
-// mortals are backend servers that end when they run a guilty request. Each that ended
+// crashServers are backend servers that end when they run a fatal request. Each that ended
 // starts anew when the test says so, under another id and at another address.
-type mortals struct {
+type crashServers struct {
 	wd       *world
 	services []string
 
 	mu     sync.Mutex
 	live   map[string]*backend // live holds those that have not ended, by id.
 	starts int
-	tolls  map[string]*toll // tolls are those of the guilty requests, by path.
+	harms  map[string]*harm // harms are those of the fatal requests, by path.
 	counts map[string]int   // counts says how many servers each attempt reached.
 }
 
-// toll is what a guilty request did to servers.
-type toll struct {
+// harm is what a fatal request did to servers.
+type harm struct {
 	ended int                 // ended counts those that ended under it so far.
 	third time.Time           // third is when the third one ended.
 	after map[string]struct{} // after holds the attempts that reached a server later than newsWithin after that.
 }
 
 // late reports whether three servers have ended so long ago that all instances must know.
-func (to *toll) late() bool { return to.ended >= 3 && time.Since(to.third) > newsWithin }
+func (ha *harm) late() bool { return ha.ended >= 3 && time.Since(ha.third) > newsWithin }
 
 const (
-	// mostMortals is how many servers each service has.
-	mostMortals = 3
+	// crashReplicas is how many servers each service has.
+	crashReplicas = 3
 	// newsWithin is how long after a server has ended an instance may not know of it.
 	newsWithin = 4 * time.Second
 )
 
-func newMortals(wd *world, services ...string) *mortals {
-	mo := &mortals{
+func newCrashServers(wd *world, services ...string) *crashServers {
+	cs := &crashServers{
 		wd: wd, services: services, live: make(map[string]*backend),
-		tolls: make(map[string]*toll), counts: make(map[string]int),
+		harms: make(map[string]*harm), counts: make(map[string]int),
 	}
-	mo.replace()
-	return mo
+	cs.replace()
+	return cs
 }
 
 // replace starts a server in the place of each that has ended.
-func (mo *mortals) replace() {
+func (cs *crashServers) replace() {
 	missing := make(map[string]int)
-	mo.mu.Lock()
-	for _, service := range mo.services {
-		missing[service] = mostMortals
+	cs.mu.Lock()
+	for _, service := range cs.services {
+		missing[service] = crashReplicas
 	}
-	for _, be := range mo.live {
+	for _, be := range cs.live {
 		missing[be.service]--
 	}
-	mo.mu.Unlock()
-	for _, service := range mo.services {
+	cs.mu.Unlock()
+	for _, service := range cs.services {
 		for range missing[service] {
-			mo.start(service)
+			cs.start(service)
 		}
 	}
 }
 
-func (mo *mortals) start(service string) {
-	mo.mu.Lock()
-	mo.starts++
-	id := fmt.Sprintf("i-%s-%d", service, mo.starts)
-	mo.mu.Unlock()
-	be := mo.wd.serveOne(service, id, func(be *backend) http.Handler {
+func (cs *crashServers) start(service string) {
+	cs.mu.Lock()
+	cs.starts++
+	id := fmt.Sprintf("i-%s-%d", service, cs.starts)
+	cs.mu.Unlock()
+	be := cs.wd.serveOne(service, id, func(be *backend) http.Handler {
 		return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-			if strings.Contains(rq.URL.Path, guilty) && rq.Header.Get("Balsamwinch-Expect-Instance") == be.id {
-				mo.crash(be, rq)
+			if strings.Contains(rq.URL.Path, fatal) && rq.Header.Get("Balsamwinch-Expect-Instance") == be.id {
+				cs.crash(be, rq)
 			}
 			be.ServeHTTP(wr, rq)
 		})
 	})
-	mo.mu.Lock()
-	mo.live[id] = be
-	mo.mu.Unlock()
+	cs.mu.Lock()
+	cs.live[id] = be
+	cs.mu.Unlock()
 }
 
 // crash ends a server as the end of its process does: all its connections at once, and
 // without a word to control.
-func (mo *mortals) crash(be *backend, rq *http.Request) {
+func (cs *crashServers) crash(be *backend, rq *http.Request) {
 	request := rq.Header.Get("Balsamwinch-Request-Id")
-	mo.mu.Lock()
-	to := mo.toll(rq.URL.Path)
-	if _, ok := mo.live[be.id]; ok {
-		if to.late() && mo.counts[request] == 0 {
-			to.after[request] = struct{}{}
+	cs.mu.Lock()
+	ha := cs.harm(rq.URL.Path)
+	if _, ok := cs.live[be.id]; ok {
+		if ha.late() && cs.counts[request] == 0 {
+			ha.after[request] = struct{}{}
 		}
-		mo.counts[request]++
-		if to.ended++; to.ended == 3 {
-			to.third = time.Now()
+		cs.counts[request]++
+		if ha.ended++; ha.ended == 3 {
+			ha.third = time.Now()
 		}
-		delete(mo.live, be.id)
+		delete(cs.live, be.id)
 	}
-	mo.mu.Unlock()
+	cs.mu.Unlock()
 	be.end()
 	_ = be.hs.Listener.Close()
 	be.hs.CloseClientConnections()
 	panic(http.ErrAbortHandler)
 }
 
-// toll returns that of a guilty request. The lock is held.
-func (mo *mortals) toll(path string) *toll {
-	if mo.tolls[path] == nil {
-		mo.tolls[path] = &toll{after: make(map[string]struct{})}
+// harm returns that of a fatal request. The lock is held.
+func (cs *crashServers) harm(path string) *harm {
+	if cs.harms[path] == nil {
+		cs.harms[path] = &harm{after: make(map[string]struct{})}
 	}
-	return mo.tolls[path]
+	return cs.harms[path]
 }
 
-// late reports whether all instances must know of a guilty request.
-func (mo *mortals) late(path string) bool {
-	mo.mu.Lock()
-	defer mo.mu.Unlock()
-	return mo.toll(path).late()
+// late reports whether all instances must know of a fatal request.
+func (cs *crashServers) late(path string) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.harm(path).late()
 }
 
 // reached returns how many servers a request has reached.
-func (mo *mortals) reached(re *response) int {
-	mo.mu.Lock()
-	defer mo.mu.Unlock()
-	return mo.counts[re.id]
+func (cs *crashServers) reached(re *response) int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.counts[re.id]
 }
 
 // check fails the test if more attempts reached servers than may after three have ended and
 // all instances must have known.
-func (mo *mortals) check(path string) {
-	mo.wd.t.Helper()
-	mo.mu.Lock()
-	defer mo.mu.Unlock()
-	to := mo.toll(path)
-	qt.Check(mo.wd.t, len(to.after) <= 3, qt.IsTrue, qt.Commentf("%s: %d attempts reached servers after three had ended, %d ended in all", path, len(to.after), to.ended))
+func (cs *crashServers) check(path string) {
+	cs.wd.t.Helper()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	ha := cs.harm(path)
+	qt.Check(cs.wd.t, len(ha.after) <= 3, qt.IsTrue, qt.Commentf("%s: %d attempts reached servers after three had ended, %d ended in all", path, len(ha.after), ha.ended))
 }
 
-// newMortalWorld starts a tier whose shards and plain service end under guilty requests.
-func newMortalWorld(t *testing.T, controls, entries int, prepare ...func(in *instance)) (*world, *mortals) {
+// newCrashWorld starts a tier whose shards and plain service end under fatal requests.
+func newCrashWorld(t *testing.T, controls, entries int, prepare ...func(in *instance)) (*world, *crashServers) {
 	wd := newWorld(t, controls, entries, prepare...)
-	mo := newMortals(wd, "s1", "p1", "p2", "p3")
+	cs := newCrashServers(wd, "s1", "p1", "p2", "p3")
 	wd.configure(config(3, "s1", "/extra/"), wd.controls...)
 	wd.whole()
-	return wd, mo
+	return wd, cs
 }
 
 // whole waits until each entry instance serves all routes.
@@ -183,23 +183,23 @@
 // refused. Three attempts at most may reach servers after the third has ended. All other
 // requests are served, also those that callers ask all the time while servers end.
 func TestRequestThatEndsServersIsStopped(t *testing.T) {
-	paths := []string{"/all/" + guilty, "/extra/" + guilty, "/one/" + guilty}
-	wd, mo := newMortalWorld(t, 3, 3)
+	paths := []string{"/all/" + fatal, "/extra/" + fatal, "/one/" + fatal}
+	wd, cs := newCrashWorld(t, 3, 3)
 	defer wd.popular("/all/a", "/extra/a", "/one/a")()
 	for nth, late := 0, 0; late < 6; nth++ {
-		if !slices.ContainsFunc(paths, func(path string) bool { return !mo.late(path) }) {
+		if !slices.ContainsFunc(paths, func(path string) bool { return !cs.late(path) }) {
 			late++
 		}
 		for _, path := range paths {
 			re := wd.get(wd.entries[nth%len(wd.entries)], path)
 			qt.Assert(t, re.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d", re.status))
-			mo.replace()
+			cs.replace()
 			wd.whole()
 		}
 	}
 	for _, path := range paths {
-		mo.check(path)
-		mo.checkRefused(path)
+		cs.check(path)
+		cs.checkRefused(path)
 	}
 }
 
@@ -228,27 +228,27 @@
 	}
 }
 
-// condemn sends the guilty request until all entry instances refuse it.
-func (mo *mortals) condemn(path string) {
-	mo.wd.t.Helper()
-	for _, en := range mo.wd.entries {
-		mo.wd.await("the request is refused", func() bool {
-			re := mo.wd.get(en, path)
-			mo.replace()
-			mo.wd.whole()
-			return re.status == http.StatusServiceUnavailable && mo.reached(re) == 0
+// untilRefused sends the fatal request until all entry instances refuse it.
+func (cs *crashServers) untilRefused(path string) {
+	cs.wd.t.Helper()
+	for _, en := range cs.wd.entries {
+		cs.wd.await("the request is refused", func() bool {
+			re := cs.wd.get(en, path)
+			cs.replace()
+			cs.wd.whole()
+			return re.status == http.StatusServiceUnavailable && cs.reached(re) == 0
 		})
 	}
 }
 
 // checkRefused fails the test unless each entry instance refuses the request.
-func (mo *mortals) checkRefused(path string) {
-	mo.wd.t.Helper()
-	for _, en := range mo.wd.entries {
-		re := mo.wd.get(en, path)
-		qt.Check(mo.wd.t, re.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %s", en.se.Name, re.body))
-		qt.Check(mo.wd.t, re.header.Get("Retry-After") != "", qt.IsTrue)
-		qt.Check(mo.wd.t, mo.reached(re), qt.Equals, 0, qt.Commentf("%s", en.se.Name))
+func (cs *crashServers) checkRefused(path string) {
+	cs.wd.t.Helper()
+	for _, en := range cs.wd.entries {
+		re := cs.wd.get(en, path)
+		qt.Check(cs.wd.t, re.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %s", en.se.Name, re.body))
+		qt.Check(cs.wd.t, re.header.Get("Retry-After") != "", qt.IsTrue)
+		qt.Check(cs.wd.t, cs.reached(re), qt.Equals, 0, qt.Commentf("%s", en.se.Name))
 	}
 }
 
@@ -258,9 +258,9 @@
 // is known even after all have stopped at once. While no control instance runs, each entry
 // instance goes by what it knows.
 func TestRefusalOutlastsRestarts(t *testing.T) {
-	const path = "/all/" + guilty
-	wd, mo := newMortalWorld(t, 3, 2)
-	mo.condemn(path)
+	const path = "/all/" + fatal
+	wd, cs := newCrashWorld(t, 3, 2)
+	cs.untilRefused(path)
 
 	again := func(ins ...*instance) {
 		for _, in := range ins {
@@ -273,14 +273,14 @@
 		wd.whole()
 	}
 	again(wd.entries...)
-	mo.checkRefused(path)
+	cs.checkRefused(path)
 	again(wd.controls...)
-	mo.checkRefused(path)
+	cs.checkRefused(path)
 	again(append(slices.Clone(wd.controls), wd.entries...)...)
-	mo.checkRefused(path)
+	cs.checkRefused(path)
 	for _, co := range wd.controls {
 		qt.Assert(t, co.end(), qt.IsNil)
 	}
-	mo.checkRefused(path)
-	mo.check(path)
+	cs.checkRefused(path)
+	cs.check(path)
 }
