gateway: what broke off is told in one place

brokeOff and onlyService each asked whether an attempt had ended Lost; the note of the attempt says it now, beside unsent. Behaviour is unchanged; the package's tests pass as they are. A comment of feed that ran beyond its lines is folded.

--- a/feed/suspects.go
+++ b/feed/suspects.go
@@ -6,10 +6,10 @@
 	"balsamwinch.example/quarantine"
 )
 
-// Suspect takes in what another instance knows of requests under which servers ended, and
-// tells all what of it is new, which is returned. Each instance that may serve such a request must know
-// before the request comes to it: a caller that was answered with a failure comes again
-// within milliseconds, and not to the same instance.
+// Suspect takes in what another instance knows of requests under which servers ended, tells
+// all what of it is new, and returns that. Each instance that may serve such a request must
+// know before it comes there: a caller that was answered with a failure comes again within
+// milliseconds, and not to the same instance.
 func (pu *Publisher) Suspect(from string, rcs []quarantine.Record) []quarantine.Record {
 	now := pu.ts.Now()
 	news := pu.qa.Hear(now, rcs)
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -53,16 +53,18 @@
 // server then, and a line that is full of such attempts hides those that were.
 func (no *note) unsent() bool { return no.ended && no.outcome == upstream.NoConnection }
 
-// brokeOff returns the backend servers that broke off while the request was with them:
-// they got it, and their connection ended without a whole answer. So does a server that
-// ends.
+// brokeOff reports whether the server got the request and its connection ended without a
+// whole answer. So does a server that ends.
+func (no *note) brokeOff() bool { return no.ended && no.outcome == upstream.Lost }
+
+// brokeOff returns the backend servers that broke off while the request was with them.
 func (ca *call) brokeOff() []string {
 	if ca.cr == nil {
 		return nil
 	}
 	var out []string
 	for number := range ca.cr.notes {
-		if no := &ca.cr.notes[number]; no.ended && no.outcome == upstream.Lost {
+		if no := &ca.cr.notes[number]; no.brokeOff() {
 			out = append(out, no.server)
 		}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -99,7 +99,7 @@
 	only := ""
 	for number := range ca.cr.notes {
 		no := &ca.cr.notes[number]
-		if !no.ended || no.outcome != upstream.Lost {
+		if !no.brokeOff() {
 			continue
 		}
 		service := ca.cr.services[no.shard]
