soak: a crashed server that can't be replaced is a problem of the run

RequestFatal dropped the error of whatever server could not be started again while requests were sent, and went on with one less, untold. All such errors are joined and reported as faults that could not be played. The checks are as they were.

--- a/emulate/soak/fatal.go
+++ b/emulate/soak/fatal.go
@@ -119,26 +119,29 @@
 // after the other, until long after all instances must know it, while others ask a
 // popular one beside it.
 func (pl *player) fatal(ctx context.Context, fa Fault) error {
-	group := groups[int(fa.Value*float64(len(groups)))%len(groups)]
+	group := groups[int(fa.Value*float64(len(groups)))]
 	mark := strconv.FormatInt(int64(fa.At), 36)
 	until := pl.ts.Now().Add(fa.For + newsWithin)
 	var wg sync.WaitGroup
-	wg.Go(func() { pl.repeat(ctx, "popular-"+mark, group, until, popularEvery) })
-	pl.repeat(ctx, emulate.FatalText+"-"+mark, group, until, fatalEvery)
+	var beside error
+	wg.Go(func() { beside = pl.repeat(ctx, "popular-"+mark, group, until, popularEvery) })
+	err := pl.repeat(ctx, emulate.FatalText+"-"+mark, group, until, fatalEvery)
 	wg.Wait()
+	err = errors.Join(err, beside)
 	for ctx.Err() == nil {
-		left, err := pl.fl.restartCrashed()
-		if left == 0 || err != nil {
-			return err
+		left, er := pl.fl.restartCrashed()
+		err = errors.Join(err, er)
+		if left == 0 {
+			break
 		}
 		_ = pl.ts.Sleep(ctx, fatalEvery)
 	}
-	return nil
+	return err
 }
 
 // repeat sends a request of one content at one instance after the other, and restarts
-// servers meanwhile.
-func (pl *player) repeat(ctx context.Context, content, group string, until time.Time, every time.Duration) {
+// servers meanwhile. The error names those that could not be.
+func (pl *player) repeat(ctx context.Context, content, group string, until time.Time, every time.Duration) (err error) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for nth := 0; ctx.Err() == nil && pl.ts.Now().Before(until); nth++ {
@@ -153,8 +156,8 @@
 			}
 		})
 		_ = pl.ts.Sleep(ctx, every)
-		if _, err := pl.fl.restartCrashed(); err != nil {
-			return
-		}
+		_, er := pl.fl.restartCrashed()
+		err = errors.Join(err, er)
 	}
+	return err
 }
