fleet, feed, tier, platform: a data centre can be evacuated

Orders stand beside the configuration in the replicated log (package evacuation decides what one makes of the set; fleet agrees, notes and tells; feed spreads the set, a few bytes, to entry instances with the next update). An order is acknowledged once a majority of the voters has it on disk. At an entry instance the servers of an evacuated data centre count as draining: nothing new goes there, neither first attempts nor hedges, retries or probes, and what is under way ends.

An order that is held up and comes after the one that took it back changes nothing: it names the revision that it was given on.

Unknown, empty and overlong names are 404 with a reason, a body is not read.

--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -52,6 +52,9 @@
 	ch := &controlHandler{co: co}
 	mx.HandleFunc("PUT /configuration", ch.write)
 	mx.HandleFunc("GET /configuration", ch.read)
+	mx.HandleFunc("GET /evacuations", ch.evacuations)
+	mx.HandleFunc("PUT /evacuations/{DataCentre}", ch.evacuate)
+	mx.HandleFunc("DELETE /evacuations/{DataCentre}", ch.evacuate)
 	mx.HandleFunc("PUT /servers/{id}", ch.announce)
 	mx.HandleFunc("DELETE /servers/{id}", ch.leave)
 	return mx
@@ -86,6 +89,11 @@
 	TTLMillis int64
 }
 
+type evacuationList struct {
+	Revision    uint64
+	DataCentres []string
+}
+
 type faultAnswer struct {
 	Detail string
 }
@@ -136,6 +144,21 @@
 	_, _ = wr.Write(data)
 }
 
+// evacuations answers with the evacuated data centres as far as this instance knows.
+func (ch *controlHandler) evacuations(wr http.ResponseWriter, _ *http.Request) {
+	tier.WriteJSON(wr, http.StatusOK, evacuationList(ch.co.Evacuated()))
+}
+
+// evacuate takes an order to evacuate a data centre, or DELETE to withdraw that.
+func (ch *controlHandler) evacuate(wr http.ResponseWriter, rq *http.Request) {
+	err := ch.co.Evacuate(rq.Context(), rq.PathValue("DataCentre"), rq.Method == http.MethodPut, rq.RemoteAddr)
+	if err != nil {
+		writeFault(wr, tier.EvacuateStatus(err), err.Error())
+		return
+	}
+	tier.WriteJSON(wr, http.StatusOK, struct{}{})
+}
+
 func (ch *controlHandler) announce(wr http.ResponseWriter, rq *http.Request) {
 	data, ok := ch.body(wr, rq)
 	if !ok {
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -17,6 +17,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
@@ -253,6 +254,8 @@
 	version uint64
 	data    []byte
 	ignored []string
+
+	evacuated evacuation.Set
 }
 
 func (ca *calls) Accept(_ context.Context, version uint64, data []byte) error {
@@ -262,6 +265,16 @@
 
 func (ca *calls) Newest(context.Context) (uint64, []byte, error) { return ca.version, ca.data, ca.err }
 
+func (ca *calls) Evacuate(_ context.Context, dataCentre string, evacuate bool, _ string) error {
+	if ca.err != nil {
+		return ca.err
+	}
+	ca.evacuated, _ = ca.evacuated.With(evacuation.Order{DataCentre: dataCentre, Evacuate: evacuate, Base: ca.evacuated.Revision})
+	return nil
+}
+
+func (ca *calls) Evacuated() evacuation.Set { return ca.evacuated }
+
 func (ca *calls) Announce(se registry.Server) { _ = ca.heard.Announce(context.Background(), se) }
 
 func (ca *calls) Leave(id string)  { _ = ca.heard.Leave(context.Background(), id) }
--- /dev/null
+++ b/evacuation/evacuation_test.go
@@ -0,0 +1,90 @@
+package evacuation
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"balsamwinch.example/result"
+)
+
+func TestWith(t *testing.T) {
+	st := Set{Revision: 7, DataCentres: []string{"north", "south"}}
+	tests := []struct {
+		name    string
+		order   Order
+		outcome Outcome
+		want    Set
+	}{
+		{"evacuate", Order{"east", true, 7}, InForce, Set{8, []string{"east", "north", "south"}}},
+		{"withdraw", Order{"north", false, 7}, InForce, Set{8, []string{"south"}}},
+		{"evacuated already", Order{"north", true, 7}, InForce, st},
+		{"evacuated already, given on an older set", Order{"north", true, 2}, InForce, st},
+		{"withdrawn already", Order{"east", false, 2}, InForce, st},
+		{"overtaken", Order{"east", true, 6}, Stale, st},
+		{"overtaken withdrawal", Order{"south", false, 6}, Stale, st},
+		{"given on a set that isn't known here", Order{"east", true, 8}, Stale, st},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, outcome := st.With(tt.order)
+			qt.Assert(t, outcome, qt.Equals, tt.outcome)
+			qt.Assert(t, got, qt.DeepEquals, tt.want)
+			qt.Assert(t, st, qt.DeepEquals, Set{Revision: 7, DataCentres: []string{"north", "south"}})
+		})
+	}
+}
+
+// Guards against a set that grows without a bound.
+func TestFull(t *testing.T) {
+	var st Set
+	for nth := range mostDataCentres {
+		st, _ = st.With(Order{DataCentre: strings.Repeat("a", nth+1), Evacuate: true, Base: st.Revision})
+	}
+	got, outcome := st.With(Order{DataCentre: "b", Evacuate: true, Base: st.Revision})
+	qt.Assert(t, outcome, qt.Equals, Full)
+	qt.Assert(t, got, qt.DeepEquals, st)
+}
+
+// Guards against an order that comes late, or twice, and undoes the one that was
+// acknowledged after it.
+func TestLateOrders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"a", "b", "c"}
+		var st Set
+		var sent []Order
+		want := map[string]bool{}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			if len(sent) > 0 && rapid.Bool().Draw(rt, "late") {
+				st, _ = st.With(rapid.SampledFrom(sent).Draw(rt, "which"))
+			} else {
+				or := Order{rapid.SampledFrom(names).Draw(rt, "name"), rapid.Bool().Draw(rt, "evacuate"), st.Revision}
+				var outcome Outcome
+				if st, outcome = st.With(or); outcome != InForce {
+					rt.Fatalf("an order on the newest set: %v", outcome)
+				}
+				sent = append(sent, or)
+				want[or.DataCentre] = or.Evacuate
+			}
+			for _, name := range names {
+				if st.Has(name) != want[name] {
+					rt.Fatalf("%s: got %v, want %v after %v", name, st.Has(name), want[name], sent)
+				}
+			}
+		}
+	})
+}
+
+func TestCheck(t *testing.T) {
+	for _, name := range []string{"miraflores", "halle-bad-tölz", strings.Repeat("a", NameLimit)} {
+		qt.Assert(t, Check(name), qt.IsNil)
+	}
+	for _, name := range []string{"", "a b", "a/b", "a\x00", "a\n", "\xff", strings.Repeat("a", NameLimit+1)} {
+		var re *result.Error
+		qt.Assert(t, errors.As(Check(name), &re), qt.IsTrue, qt.Commentf("%q", name))
+		qt.Assert(t, re.Code, qt.Equals, result.Invalid)
+	}
+}
--- a/feed/message.go
+++ b/feed/message.go
@@ -15,6 +15,7 @@
 package feed
 
 import (
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quarantine"
@@ -139,6 +140,8 @@
 	Sharers    int    `cbor:"7,keyasint,omitempty"` // Sharers is as in Update.
 
 	Suspects []quarantine.Record `cbor:"8,keyasint,omitempty"` // Suspects are all requests under which servers ended.
+
+	Evacuations *evacuation.Set `cbor:"9,keyasint,omitempty"` // Evacuations are nil before the first order.
 }
 
 // Kind returns the kind of the message.
@@ -156,6 +159,8 @@
 	Sharers int `cbor:"6,keyasint,omitempty"`
 	// Suspects are requests under which servers ended, or that are cleared of that.
 	Suspects []quarantine.Record `cbor:"7,keyasint,omitempty"`
+	// Evacuations are newer ones; nil if unchanged.
+	Evacuations *evacuation.Set `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
@@ -71,6 +72,7 @@
 	armed       bool            // armed says that a flush is due.
 	flushed     time.Time       // flushed is the time of the last update.
 	changes     uint64          // changes counts the changes of the book.
+	evacuations *evacuation.Set // evacuations are the newest ones; nil before the first order.
 
 	documents documents
 	outliers  outliers
@@ -96,9 +98,11 @@
 	members bool
 	version bool
 	sharers bool
-	entries map[string]struct{}
-	servers []registry.Change // servers holds one change for each id, in the order of the first.
-	places  map[string]int    // places are the places in servers by id.
+	// evacuations says that these have changed.
+	evacuations bool
+	entries     map[string]struct{}
+	servers     []registry.Change // servers holds one change for each id, in the order of the first.
+	places      map[string]int    // places are the places in servers by id.
 	// suspects are the requests under which servers ended of which something is new.
 	suspects map[quarantine.Key]quarantine.Record
 }
@@ -389,7 +393,7 @@
 	return Picture{
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.entries(func(Entry) bool { return true }), Servers: pu.book.Records(now),
-		Suspects: pu.qa.Records(now),
+		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
 	}
 }
 
@@ -516,6 +520,9 @@
 	if pu.pending.sharers {
 		up.Sharers = pu.sharers
 	}
+	if pu.pending.evacuations {
+		up.Evacuations = pu.evacuations
+	}
 	for _, name := range slices.Sorted(maps.Keys(pu.pending.entries)) {
 		if en, ok := pu.live[name]; ok {
 			up.Entries = append(up.Entries, en)
--- a/feed/source.go
+++ b/feed/source.go
@@ -242,6 +242,7 @@
 	}
 	su.dirty = true
 	so.version = 0
+	su.evacuate(so, pi.Evacuations)
 	su.announced(so, pi.Version)
 	su.un.Replace(now, so.address, pi.Servers)
 	su.suspects(so, pi.Suspects)
@@ -266,6 +267,7 @@
 		so.sharers = up.Sharers
 		su.dirty = true
 	}
+	su.evacuate(so, up.Evacuations)
 	su.announced(so, up.Version)
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/quarantine"
@@ -49,6 +50,8 @@
 	// EntriesChanged gives the entry instances that are Ready or Draining, by name,
 	// as the control instances together see them.
 	EntriesChanged(live []Entry)
+	// EvacuationsChanged gives which data centres are evacuated; revisions only rise.
+	EvacuationsChanged(st evacuation.Set)
 	// SharersChanged gives how many entry instances callers are led to who share backend
 	// servers.
 	SharersChanged(count int)
@@ -105,6 +108,7 @@
 	toldAt   time.Time
 	entries  []Entry // entries is what the observer was told last.
 	sharers  int     // sharers is likewise.
+	revision uint64  // revision is that of the evacuations that the observer was told last.
 	dirty    bool    // dirty says that the entry instances may have changed.
 	fetch    fetch
 	heard    map[string]heard // heard holds the findings of the last outlier.Lifetime by id.
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
@@ -34,6 +35,8 @@
 
 func (*eye) EntriesChanged([]Entry) {}
 
+func (*eye) EvacuationsChanged(evacuation.Set) {}
+
 func (*eye) SharersChanged(int) {}
 
 func (*eye) OutliersFound([]outlier.Finding) {}
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/peer"
@@ -326,6 +327,8 @@
 	lives    [][]Entry
 	found    []outlier.Finding
 	sharers  []int
+
+	evacuations []evacuation.Set
 }
 
 // entry makes an entry instance and starts it.
@@ -426,6 +429,12 @@
 	en.lives = append(en.lives, live)
 }
 
+func (en *entry) EvacuationsChanged(st evacuation.Set) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.evacuations = append(en.evacuations, st)
+}
+
 func (en *entry) SharersChanged(count int) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -13,8 +13,9 @@
 
 // The operations that errors name.
 const (
-	opPropose = "propose document"
-	opRead    = "read document"
+	opPropose  = "propose document"
+	opRead     = "read document"
+	opEvacuate = "order evacuation"
 )
 
 // Times of a request to a leader.
--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -150,6 +150,10 @@
 		nd.demand(li, ms.Request, ms, len(ms.Data))
 	case Reading:
 		nd.demand(li, ms.Request, ms, 0)
+	case EvacuationOrder:
+		nd.demand(li, ms.Request, ms, len(ms.Order.DataCentre))
+	case Evacuations:
+		nd.post(toldEvacuations{set: ms.Set}, 0)
 	case Answer:
 		nd.ca.resolve(ms)
 	}
--- a/fleet/disk.go
+++ b/fleet/disk.go
@@ -65,7 +65,7 @@
 	if err := th.mark(); err != nil {
 		return err
 	}
-	th.readNote()
+	th.readNotes()
 	first, err := th.marked()
 	if err != nil {
 		return err
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "balsamwinch.example/peer"
+import (
+	"balsamwinch.example/evacuation"
+	"balsamwinch.example/peer"
+)
 
 // Bounds of what waits for the node's goroutine, which may hang in a write to
 // its disk. What finds no room is dropped: messages of the log may be lost, and
@@ -28,7 +31,10 @@
 // learned is a document that a leader says is committed.
 type learned struct{ do *document }
 
-// demanded is a Proposal or Reading. The reply is given once and doesn't block.
+// toldEvacuations are evacuations that a leader says are committed.
+type toldEvacuations struct{ set evacuation.Set }
+
+// demanded is a Proposal, a Reading or an EvacuationOrder. The reply is given once and doesn't block.
 type demanded struct {
 	ms    peer.Message
 	reply func(Answer)
@@ -37,8 +43,9 @@
 // resigning asks to hand the lead over; done is closed afterwards.
 type resigning struct{ done chan struct{} }
 
-func (sized) isEvent()     {}
-func (routed) isEvent()    {}
-func (learned) isEvent()   {}
-func (demanded) isEvent()  {}
-func (resigning) isEvent() {}
+func (sized) isEvent()           {}
+func (routed) isEvent()          {}
+func (learned) isEvent()         {}
+func (demanded) isEvent()        {}
+func (toldEvacuations) isEvent() {}
+func (resigning) isEvent()       {}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,7 +2,7 @@
 // the group at the first start of all, keeps a replicated log (package quorum)
 // on its disk (package wal) and holds one document, the configuration with the
 // highest version that was ever committed. It knows nothing of what the document
-// means.
+// means. Beside it stands which data centres are evacuated (package evacuation).
 //
 // A document that was acknowledged is on the disks of a majority of the voters.
 // A read is confirmed by a majority after it began, so that no clock and no
@@ -20,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
@@ -71,6 +72,8 @@
 	// DocumentCommitted gives a newly committed document; versions only rise. The
 	// data must not be changed.
 	DocumentCommitted(version uint64, data []byte)
+	// EvacuationsCommitted gives newly committed evacuations; revisions only rise.
+	EvacuationsCommitted(st evacuation.Set)
 	// MembersChanged gives all control instances that are voters or were linked
 	// within the last minute, this one included, by name.
 	MembersChanged(mes []Member)
@@ -100,7 +103,9 @@
 	nudge  chan struct{} // nudge says that a line or a report changed.
 
 	newest atomic.Pointer[document] // newest is the highest document known to be committed.
-	report atomic.Pointer[Report]   // report is what others are told of this instance.
+	// evacuations are those with the highest revision known to be committed.
+	evacuations atomic.Pointer[evacuation.Set]
+	report      atomic.Pointer[Report] // report is what others are told of this instance.
 	// sequence numbers the reports.
 	sequence atomic.Uint64
 	// busy is since when the node's goroutine has been at work, in nanoseconds after
@@ -137,6 +142,7 @@
 	}
 	nd.random.Rand = rand.New(rand.NewPCG(nd.start, uint64(ts.Now().UnixNano())))
 	nd.newest.Store(&document{})
+	nd.evacuations.Store(&evacuation.Set{})
 	nd.report.Store(&Report{Start: nd.start, Name: cf.Name, Address: cf.Address})
 	nd.status.Store(&Status{Name: cf.Name, Role: roleStarting})
 	return nd
--- a/fleet/group_test.go
+++ b/fleet/group_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
@@ -92,6 +93,24 @@
 	versions []uint64
 	data     []byte
 	members  []Member
+	// evacuations are all that came, in order.
+	evacuations []evacuation.Set
+}
+
+func (re *recorder) EvacuationsCommitted(st evacuation.Set) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.evacuations = append(re.evacuations, st)
+}
+
+// evacuated returns the evacuations that came last.
+func (re *recorder) evacuated() evacuation.Set {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if len(re.evacuations) == 0 {
+		return evacuation.Set{}
+	}
+	return re.evacuations[len(re.evacuations)-1]
 }
 
 func (re *recorder) DocumentCommitted(version uint64, data []byte) {
--- a/fleet/lead.go
+++ b/fleet/lead.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
 )
 
@@ -56,6 +57,8 @@
 		th.proposal(ms, ev.reply)
 	case Reading:
 		th.reading(ms, ev.reply)
+	case EvacuationOrder:
+		th.order(ms, ev.reply)
 	}
 }
 
@@ -69,7 +72,7 @@
 	case !th.leads():
 		th.refuse(reply, reasonNotLeader)
 		return
-	case len(th.proposals) >= inFlight || th.leading.flight > 0 && th.leading.flight+len(ms.Data) > inFlightBytes:
+	case len(th.proposals)+len(th.orders) >= inFlight || th.leading.flight > 0 && th.leading.flight+len(ms.Data) > inFlightBytes:
 		th.refuse(reply, reasonBusy)
 		return
 	}
@@ -113,6 +116,7 @@
 		th.leading.told = do.Version
 		th.step(quorum.Probe{Now: th.now()})
 	}
+	th.probeRevision()
 	now := th.now()
 	th.proposals = slices.DeleteFunc(th.proposals, func(pr proposing) bool {
 		if pr.version > vo.sm.Document.Version {
@@ -156,14 +160,17 @@
 // abandon answers all who wait at an instance that no longer leads: what they
 // proposed may or may not be committed, and they ask the next leader.
 func (th *thread) abandon(reason string) {
-	prs, rds := th.proposals, th.reads
-	th.proposals, th.reads = nil, nil
+	prs, rds, ors := th.proposals, th.reads, th.orders
+	th.proposals, th.reads, th.orders = nil, nil, nil
 	for _, pr := range prs {
 		th.refuse(pr.reply, reason)
 	}
 	for _, rd := range rds {
 		th.refuse(rd.reply, reason)
 	}
+	for _, or := range ors {
+		th.refuse(or.reply, reason)
+	}
 }
 
 func (th *thread) resign(done chan struct{}) {
@@ -193,38 +200,52 @@
 	th.resigns = nil
 }
 
-// tellOutsiders sends a document to all that don't learn it from the log.
-func (th *thread) tellOutsiders(do *document) {
+// tellOutsiders sends what is committed to all that don't learn it from the log.
+func (th *thread) tellOutsiders(ms peer.Message) {
 	for _, pa := range th.nd.li.known() {
 		if !th.inSet(pa.report.ID) {
-			th.tell(pa, do)
+			th.tell(pa, ms)
 		}
 	}
 }
 
-// pushDocuments sends the document to those that report an older version, in
-// case an earlier one was lost.
-func (th *thread) pushDocuments(now time.Time, pas []partner) {
+// pushState sends what is committed to those that report something older, in case an
+// earlier message was lost.
+func (th *thread) pushState(now time.Time, pas []partner) {
 	if !th.leads() {
 		return
 	}
-	do := th.vo.sm.Document
+	do, st := th.vo.sm.Document, th.vo.sm.Evacuations
 	for _, pa := range pas {
+		if th.inSet(pa.report.ID) {
+			continue
+		}
 		pu := th.pushed[pa.report.Name]
-		again := pu.start != pa.report.Start || pu.version != do.Version || now.Sub(pu.at) >= pushPeriod
-		if pa.report.Version < do.Version && again && !th.inSet(pa.report.ID) {
-			th.tell(pa, &do)
+		again := pu.start != pa.report.Start || now.Sub(pu.at) >= pushPeriod
+		if pa.report.Version < do.Version && (again || pu.version != do.Version) {
+			th.tell(pa, Document(do))
+		}
+		if pa.report.Revision < st.Revision && (again || pu.revision != st.Revision) {
+			th.tell(pa, Evacuations{Set: st})
 		}
 	}
 }
 
-func (th *thread) tell(pa partner, do *document) {
+func (th *thread) tell(pa partner, ms peer.Message) {
 	li := th.nd.li.find(pa.report.Name)
 	if li == nil {
 		return
 	}
-	th.pushed[pa.report.Name] = push{start: pa.report.Start, version: do.Version, at: th.now()}
-	_ = li.co.Send(Document{Version: do.Version, Data: do.Data}) // It is sent again if it is lost.
+	pu := th.pushed[pa.report.Name]
+	pu.start, pu.at = pa.report.Start, th.now()
+	switch ms := ms.(type) {
+	case Document:
+		pu.version = ms.Version
+	case Evacuations:
+		pu.revision = ms.Set.Revision
+	}
+	th.pushed[pa.report.Name] = pu
+	_ = li.co.Send(ms) // It is sent again if it is lost.
 }
 
 func (th *thread) inSet(id quorum.ID) bool {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quorum"
 )
@@ -15,6 +16,8 @@
 	KindProposal
 	KindReading
 	KindAnswer
+	KindEvacuationOrder
+	KindEvacuations
 )
 
 // Report is what an instance tells the others of itself.
@@ -30,6 +33,7 @@
 	Leading       bool
 	Term          uint64 // Term is the term in which it leads.
 	Version       uint64 // Version is that of the newest document it knows to be committed.
+	Revision      uint64 // Revision is that of the newest evacuations it knows to be committed.
 
 	Members   []Member   // Members are those that it is linked with and the voters.
 	Formation *Formation // Formation is nil if it is not known.
@@ -77,7 +81,16 @@
 	Held    uint64 // Held is the version that need not be sent again.
 }
 
-// Answer answers Proposal and Reading.
+// EvacuationOrder asks the leader to commit an order. Answer comes once it is applied.
+type EvacuationOrder struct {
+	Request uint64
+	Order   evacuation.Order
+}
+
+// Evacuations are committed evacuations, from a leader to those that don't vote.
+type Evacuations struct{ Set evacuation.Set }
+
+// Answer answers Proposal, Reading and EvacuationOrder.
 type Answer struct {
 	Request uint64
 	OK      bool
@@ -86,6 +99,10 @@
 	Same    bool   // Same says that Held is the committed version; Data is left out.
 	Leader  string // Leader is whom to ask if not OK; "" if unknown.
 	Reason  string
+
+	// Outcome and Evacuations are what an EvacuationOrder led to.
+	Outcome     evacuation.Outcome
+	Evacuations evacuation.Set
 }
 
 // Kind returns KindJoin.
@@ -112,6 +129,12 @@
 // Kind returns KindAnswer.
 func (Answer) Kind() peer.Kind { return KindAnswer }
 
+// Kind returns KindEvacuationOrder.
+func (EvacuationOrder) Kind() peer.Kind { return KindEvacuationOrder }
+
+// Kind returns KindEvacuations.
+func (Evacuations) Kind() peer.Kind { return KindEvacuations }
+
 // Messages returns one zero value of each message, for the codec of the links.
 func Messages() []peer.Message {
 	return []peer.Message{
@@ -123,5 +146,7 @@
 		Proposal{},
 		Reading{},
 		Answer{},
+		EvacuationOrder{},
+		Evacuations{},
 	}
 }
--- a/fleet/note.go
+++ b/fleet/note.go
@@ -7,11 +7,15 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/wal"
 )
 
-// noteName is the name of the note in a data folder.
-const noteName = "document"
+// The names of the notes in a data folder.
+const (
+	noteName            = "document"
+	evacuationsNoteName = "evacuations"
+)
 
 // note keeps a committed document beside the log.
 //
@@ -30,22 +34,39 @@
 	}
 }
 
-// readNote takes over the document of the note, if there is one.
-func (th *thread) readNote() {
-	data, err := th.nd.fsys.ReadFile(th.path(noteName))
-	if errors.Is(err, fs.ErrNotExist) {
-		return
+// noteEvacuations keeps committed evacuations likewise. Without them, requests would go to
+// an evacuated data centre after a stop of all until a leader is found.
+func (th *thread) noteEvacuations(st evacuation.Set) {
+	if err := wal.Replace(th.nd.fsys, th.nd.cf.Dir, evacuationsNoteName, mustEncode(st)); err != nil {
+		th.nd.lg.Warn("note-not-written", zap.Uint64("Revision", st.Revision), zap.Error(err))
+	}
+}
+
+// readNotes takes over what the notes hold.
+func (th *thread) readNotes() {
+	var st evacuation.Set
+	if th.readNote(evacuationsNoteName, &st) && st.Revision > th.nd.evacuations.Load().Revision {
+		th.revisionNoted = st.Revision
+		th.learnEvacuations(st)
 	}
 	var do document
+	if th.readNote(noteName, &do) && do.Version > th.nd.newest.Load().Version {
+		th.noted = do.Version
+		th.learn(&do)
+	}
+}
+
+// readNote reads a note and reports whether there is one that can be read.
+func (th *thread) readNote(name string, to any) bool {
+	data, err := th.nd.fsys.ReadFile(th.path(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false
+	}
 	if err == nil {
-		err = cbor.Unmarshal(data, &do)
+		err = cbor.Unmarshal(data, to)
 	}
 	if err != nil {
-		th.nd.lg.Warn("note-not-read", zap.Error(err))
-		return
-	}
-	if do.Version > th.nd.newest.Load().Version {
-		th.noted = do.Version
-		th.learn(&do)
+		th.nd.lg.Warn("note-not-read", zap.String("Name", name), zap.Error(err))
 	}
+	return err == nil
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
 	"balsamwinch.example/wal"
@@ -17,12 +18,34 @@
 	Document  document   `cbor:"1,keyasint"`
 	Members   []Member   `cbor:"2,keyasint"` // Members are the addresses of voters and learners, by name.
 	Formation *Formation `cbor:"3,keyasint"`
+	// Evacuations are the data centres whose backend servers get no requests.
+	Evacuations evacuation.Set `cbor:"4,keyasint"`
 }
 
 // command is one command in the log; exactly one field is set.
 type command struct {
 	Document *document `cbor:"1,keyasint,omitempty"`
 	Member   *Member   `cbor:"2,keyasint,omitempty"`
+	// Evacuation is an order to evacuate a data centre or to withdraw that.
+	Evacuation *orderCommand `cbor:"3,keyasint,omitempty"`
+}
+
+// orderCommand is an order in the log. The leader that appended it finds who waits for it
+// by ID.
+type orderCommand struct {
+	ID    uint64           `cbor:"1,keyasint"`
+	Order evacuation.Order `cbor:"2,keyasint"`
+}
+
+// fields counts the fields that are set.
+func (cm command) fields() int {
+	count := 0
+	for _, set := range []bool{cm.Document != nil, cm.Member != nil, cm.Evacuation != nil} {
+		if set {
+			count++
+		}
+	}
+	return count
 }
 
 // encoding gives the same bytes for the same value everywhere.
@@ -51,8 +74,8 @@
 	if err := cbor.Unmarshal(data, &cm); err != nil {
 		return cm, &result.Error{Code: result.DamagedState, Op: "read command", Err: err}
 	}
-	if (cm.Document == nil) == (cm.Member == nil) {
-		return cm, &result.Error{Code: result.DamagedState, Op: "read command", Detail: "want a document or a member"}
+	if cm.fields() != 1 {
+		return cm, &result.Error{Code: result.DamagedState, Op: "read command", Detail: "want a document, a member or an evacuation"}
 	}
 	return cm, nil
 }
@@ -78,6 +101,8 @@
 		st.Members = slices.DeleteFunc(slices.Clone(st.Members), func(me Member) bool { return me.Name == cm.Member.Name })
 		st.Members = append(st.Members, *cm.Member)
 		slices.SortFunc(st.Members, compareMembers)
+	case cm.Evacuation != nil:
+		st.Evacuations, _ = st.Evacuations.With(cm.Evacuation.Order)
 	}
 	return st
 }
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -57,10 +57,13 @@
 	members []Member // members are those that the observer was told.
 	pushed  map[string]push
 	noted   uint64 // noted is the version of the document in the note.
+	// revisionNoted is the revision of the evacuations in their note.
+	revisionNoted uint64
 
 	leading   leadership
 	proposals []proposing
 	reads     []reading
+	orders    []ordering
 	resigns   []chan struct{}
 }
 
@@ -70,11 +73,12 @@
 	seen    time.Time
 }
 
-// push is the newest document that was sent to an instance.
+// push is what was sent last to an instance that doesn't vote.
 type push struct {
-	start   uint64
-	version uint64
-	at      time.Time
+	start    uint64
+	version  uint64 // version is that of the document.
+	revision uint64 // revision is that of the evacuations.
+	at       time.Time
 }
 
 func newThread(ctx context.Context, nd *Node) *thread {
@@ -178,6 +182,8 @@
 		th.routed(ev)
 	case learned:
 		th.learn(ev.do)
+	case toldEvacuations:
+		th.learnEvacuations(ev.set)
 	case demanded:
 		th.demanded(ev)
 	case resigning:
@@ -247,7 +253,7 @@
 	th.remember(now, pas)
 	th.form(now, pas)
 	th.call()
-	th.pushDocuments(now, pas)
+	th.pushState(now, pas)
 }
 
 // remember notes who is there, and who they say is there.
@@ -374,11 +380,12 @@
 // reporting returns the report of this instance without its number.
 func (th *thread) reporting() Report {
 	re := Report{
-		Start:   th.nd.start,
-		Name:    th.nd.cf.Name,
-		Address: th.nd.cf.Address,
-		Version: th.nd.newest.Load().Version,
-		Members: th.linked(),
+		Start:    th.nd.start,
+		Name:     th.nd.cf.Name,
+		Address:  th.nd.cf.Address,
+		Version:  th.nd.newest.Load().Version,
+		Members:  th.linked(),
+		Revision: th.nd.evacuations.Load().Revision,
 	}
 	vo := th.vo
 	if vo == nil {
@@ -412,7 +419,7 @@
 	return mes
 }
 
-// same reports whether two reports say the same. The version alone does not count:
+// same reports whether two reports say the same. Version and Revision alone don't count:
 // those that vote learn it from the log, and the others repeat their report.
 func (re Report) same(ot Report) bool {
 	return re.ID == ot.ID && re.Fresh == ot.Fresh && slices.Equal(re.First, ot.First) &&
--- a/fleet/voter.go
+++ b/fleet/voter.go
@@ -41,6 +41,7 @@
 	heard    map[quorum.ID]time.Time // heard is when something came from a member.
 	proposed uint64                  // proposed is the highest version that was appended.
 	told     uint64                  // told is the version whose commit the voters were told at once.
+	revision uint64                  // revision is likewise that of the evacuations.
 	flight   int                     // flight is how many bytes are appended and not committed.
 	named    map[string]time.Time    // named is when an address was proposed.
 }
@@ -178,19 +179,27 @@
 		// from the others'.
 		return
 	}
+	before := vo.sm.Evacuations
 	vo.sm = vo.sm.with(cm)
 	th.learnState()
+	if cm.Evacuation != nil {
+		_, outcome := before.With(cm.Evacuation.Order)
+		th.ordered(cm.Evacuation.ID, outcome)
+	}
 }
 
-// learnState takes over the document that the log has committed.
+// learnState takes over the document and the evacuations that the log has committed.
 func (th *thread) learnState() {
+	if st := th.vo.sm.Evacuations; th.learnEvacuations(st) && th.vo.st.Role() == quorum.Leader {
+		th.tellOutsiders(Evacuations{Set: st})
+	}
 	do := th.vo.sm.Document
 	if do.Version <= th.nd.newest.Load().Version {
 		return
 	}
 	th.learn(&do)
 	if th.vo.st.Role() == quorum.Leader {
-		th.tellOutsiders(&do)
+		th.tellOutsiders(Document(do))
 	}
 }
 
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -112,7 +112,12 @@
 	return strings.Join(li, ", ")
 }
 
+// mapping reads a mapping. A null is one without entries: a template writes it for a table
+// that the machine doesn't have.
 func (de *decoder) mapping(en entry, field string, rv reflect.Value) {
+	if en.removes() {
+		return
+	}
 	if en.kind != yaml.MappingNode {
 		de.fault(en, field, "a mapping", en.describe())
 		return
--- a/tier/control.go
+++ b/tier/control.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
 	"balsamwinch.example/link"
@@ -126,6 +128,9 @@
 	co.ro.setDocument(version, data)
 }
 
+// EvacuationsCommitted tells the entry instances which data centres are evacuated.
+func (co *control) EvacuationsCommitted(st evacuation.Set) { co.pu.SetEvacuations(st) }
+
 // MembersChanged tells the entry instances which control instances there are.
 func (co *control) MembersChanged(ms []fleet.Member) {
 	out := make([]feed.Member, 0, len(ms))
@@ -158,6 +163,36 @@
 	return version, data, err
 }
 
+// Evacuate evacuates a data centre or withdraws that.
+func (co *control) Evacuate(ctx context.Context, dataCentre string, evacuate bool, from string) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+	defer cancel()
+	start := co.ts.Now()
+	st, err := evacuation.Set{}, co.known(dataCentre)
+	if err == nil {
+		st, err = co.nd.Evacuate(ctx, dataCentre, evacuate)
+	}
+	co.lg.Info("evacuation-asked", zap.String("DataCentre", dataCentre), zap.Bool("Evacuate", evacuate), zap.String("From", from),
+		zap.Bool("Accepted", err == nil), zap.Uint64("Revision", st.Revision), zap.Strings("Evacuated", st.DataCentres),
+		zap.Int64("Millis", co.ts.Now().Sub(start).Milliseconds()), zap.Error(err), trail.AtOnce())
+	return err
+}
+
+// known returns an error if the settings list the data centres and lack one.
+func (co *control) known(dataCentre string) error {
+	all := co.sh.se.Load().DataCentres
+	if err := evacuation.Check(dataCentre); err != nil || len(all) == 0 {
+		return err
+	}
+	if _, ok := all[dataCentre]; ok {
+		return nil
+	}
+	return &result.Error{Code: result.Invalid, Op: "order evacuation", Detail: fmt.Sprintf("the settings name no data centre %q", dataCentre)}
+}
+
+// Evacuated returns which data centres are evacuated as far as this instance knows.
+func (co *control) Evacuated() evacuation.Set { return co.nd.Evacuations() }
+
 // Announce takes a backend server's announcement.
 func (co *control) Announce(se registry.Server) { co.pu.Announce(se) }
 
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/result"
@@ -43,6 +44,12 @@
 	// Newest returns the newest accepted configuration, or an error if this
 	// instance can't be sure which it is.
 	Newest(ctx context.Context) (version uint64, data []byte, err error)
+	// Evacuate has the backend servers of a data centre get no requests, or get them
+	// again. It returns nil once a majority has the order on disk. From is the operator's
+	// address, for the log.
+	Evacuate(ctx context.Context, dataCentre string, evacuate bool, from string) error
+	// Evacuated returns which data centres are evacuated as far as this instance knows.
+	Evacuated() evacuation.Set
 	// Announce takes a backend server's announcement, Gone for one that leaves and
 	// says which start of it does.
 	Announce(se registry.Server)
@@ -73,6 +80,21 @@
 	}
 }
 
+// EvacuateStatus returns the HTTP status with which a dialect answers an operator whose
+// order was given to Evacuate, which returned the error: 200 for one that is in force, 404
+// for a data centre that there can't be, and 503 for an outcome that is unknown.
+func EvacuateStatus(err error) int {
+	var re *result.Error
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.As(err, &re) && re.Code == result.Invalid:
+		return http.StatusNotFound
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
 // AddressCalls answer callers that ask where to connect.
 type AddressCalls interface {
 	// Addresses returns the entry instances to use, those in the data centre
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"balsamwinch.example/budget"
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/link"
@@ -49,6 +50,10 @@
 	ts   *timer.Service
 	lg   *zap.Logger
 	st   *standing
+
+	// servers and evacuations are as the subscriber told them last, by its goroutine.
+	servers     map[string][]registry.Server
+	evacuations evacuation.Set
 }
 
 func runEntry(ctx context.Context, se Settings, sh *shared, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
@@ -150,7 +155,17 @@
 }
 
 // ServersChanged takes over which backend servers exist.
-func (en *entry) ServersChanged(ses map[string][]registry.Server) { en.gw.SetServers(ses) }
+func (en *entry) ServersChanged(ses map[string][]registry.Server) {
+	en.servers = ses
+	en.gw.SetServers(evacuated(ses, en.evacuations))
+}
+
+// EvacuationsChanged takes over which data centres are evacuated.
+func (en *entry) EvacuationsChanged(st evacuation.Set) {
+	en.evacuations = st
+	en.gw.SetServers(evacuated(en.servers, st))
+	en.lg.Info("evacuations-in-force", zap.Uint64("Revision", st.Revision), zap.Strings("Evacuated", st.DataCentres), trail.AtOnce())
+}
 
 // EntriesChanged takes over which entry instances share the backend servers.
 func (en *entry) EntriesChanged(live []feed.Entry) { en.gw.SetEntries(len(live)) }
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
 	"balsamwinch.example/registry"
@@ -105,6 +106,7 @@
 	ts            *timer.Service
 	set           *vm.Set
 	accept, read  call
+	evacuate      call
 	announcements *vm.Counter
 	leaves        *vm.Counter
 	ignored       *vm.Counter
@@ -128,7 +130,7 @@
 		}
 	}
 	return &counted{
-		co: co, ts: ts, set: set, accept: series("Accept"), read: series("Read"),
+		co: co, ts: ts, set: set, accept: series("Accept"), read: series("Read"), evacuate: series("Evacuate"),
 		announcements: set.NewCounter("balsamwinch_announcements_total"),
 		leaves:        set.NewCounter("balsamwinch_leaves_total"),
 		ignored:       set.NewCounter("balsamwinch_ignored_announcements_total"),
@@ -160,6 +162,17 @@
 	return version, data, err
 }
 
+// Evacuate counts and passes the call on.
+func (cu *counted) Evacuate(ctx context.Context, dataCentre string, evacuate bool, from string) error {
+	start := cu.ts.Now()
+	err := cu.co.Evacuate(ctx, dataCentre, evacuate, from)
+	cu.evacuate.done(cu.ts.Now().Sub(start), err)
+	return err
+}
+
+// Evacuated passes the call on.
+func (cu *counted) Evacuated() evacuation.Set { return cu.co.Evacuated() }
+
 // Announce counts and passes the call on.
 func (cu *counted) Announce(se registry.Server) {
 	cu.announcements.Inc()
--- a/tier/meters_test.go
+++ b/tier/meters_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
 	"balsamwinch.example/registry"
@@ -104,10 +105,12 @@
 	time.Sleep(200 * time.Millisecond)
 	return 7, []byte("x"), fc.err
 }
-func (fakeCalls) Announce(registry.Server) {}
-func (fakeCalls) Leave(string)             {}
-func (fakeCalls) Ignore(string, string)    {}
-func (fakeCalls) BodyLimit() int64         { return 9 }
+func (fc fakeCalls) Evacuate(context.Context, string, bool, string) error { return fc.err }
+func (fakeCalls) Evacuated() evacuation.Set                               { return evacuation.Set{Revision: 3} }
+func (fakeCalls) Announce(registry.Server)                                {}
+func (fakeCalls) Leave(string)                                            {}
+func (fakeCalls) Ignore(string, string)                                   {}
+func (fakeCalls) BodyLimit() int64                                        { return 9 }
 func (fc fakeCalls) Addresses(string, string, string) ([]string, time.Duration) {
 	return fc.addrs, time.Second
 }
--- a/tier/others.go
+++ b/tier/others.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/quarantine"
@@ -51,6 +52,9 @@
 // entry instance has a link to this one, too.
 func (*others) EntriesChanged([]feed.Entry) {}
 
+// EvacuationsChanged is not of use: the group keeps the evacuations.
+func (*others) EvacuationsChanged(evacuation.Set) {}
+
 // SharersChanged ignores what entry instances are told.
 func (*others) SharersChanged(int) {}
 
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -20,17 +20,19 @@
 	Name       string
 	DataCentre string
 	Region     string
-	Address    string // Address is the IP number for links between instances.
-	LinkPort   int    // LinkPort is the same on all instances.
-	Listen     Listen
-	Seeds      []string // Seeds are addresses of control instances, IP:port; the port is not used for links.
-	FirstStart bool     // FirstStart says that the whole tier starts for the first time, with empty disks.
-	Losses     int      // Losses is how many control instances may be lost at once.
-	DataFolder string
-	Limits     MachineLimits
-	Timing     Timing
-	Budget     Budget
-	Metrics    string // Metrics is the IP:port for metrics; none if empty.
+	// DataCentres holds the region of each data centre of the whole tier; empty if not known.
+	DataCentres map[string]string
+	Address     string // Address is the IP number for links between instances.
+	LinkPort    int    // LinkPort is the same on all instances.
+	Listen      Listen
+	Seeds       []string // Seeds are addresses of control instances, IP:port; the port is not used for links.
+	FirstStart  bool     // FirstStart says that the whole tier starts for the first time, with empty disks.
+	Losses      int      // Losses is how many control instances may be lost at once.
+	DataFolder  string
+	Limits      MachineLimits
+	Timing      Timing
+	Budget      Budget
+	Metrics     string // Metrics is the IP:port for metrics; none if empty.
 }
 
 // Listen names the addresses, IP:port, that an instance listens on for others
--- a/tier/settings_test.go
+++ b/tier/settings_test.go
@@ -163,3 +163,10 @@
 		})
 	}
 }
+
+// Guards against an instance that doesn't start where the machine names no data centres.
+func TestNoDataCentres(t *testing.T) {
+	se, err := Parse("x.yaml", []byte("Name: a\nDataCentres: null\nAddress: 1.1.1.1\nLinkPort: 3\nSeeds: [\"1.1.1.1:3\"]\nListen:\n  Callers: \"1.1.1.1:4\"\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, se.DataCentres, qt.HasLen, 0)
+}
--- a/tier/world_test.go
+++ b/tier/world_test.go
@@ -232,6 +232,7 @@
 type backend struct {
 	wd          *world
 	id, service string
+	dataCentre  string
 	hs          *httptest.Server
 	runs        atomic.Int64
 	wg          sync.WaitGroup
@@ -239,17 +240,28 @@
 }
 
 func (wd *world) serve(service string, count int) []*backend {
+	return wd.serveIn("north", service, count)
+}
+
+// serveIn starts backend servers in a data centre.
+func (wd *world) serveIn(dataCentre, service string, count int) []*backend {
 	var out []*backend
 	for nth := range count {
-		out = append(out, wd.serveOne(service, fmt.Sprintf("i-%s-%d", service, nth), func(be *backend) http.Handler { return be }))
+		id := fmt.Sprintf("i-%s-%s-%d", service, dataCentre, nth)
+		out = append(out, wd.serveAt(dataCentre, service, id, func(be *backend) http.Handler { return be }))
 	}
 	return out
 }
 
 // serveOne starts a backend server that answers as the handler does.
 func (wd *world) serveOne(service, id string, handler func(be *backend) http.Handler) *backend {
+	return wd.serveAt("north", service, id, handler)
+}
+
+// serveAt starts a backend server in a data centre that answers as the handler does.
+func (wd *world) serveAt(dataCentre, service, id string, handler func(be *backend) http.Handler) *backend {
 	ctx, cancel := context.WithCancel(wd.ctx)
-	be := &backend{wd: wd, id: id, service: service, end: cancel}
+	be := &backend{wd: wd, id: id, service: service, dataCentre: dataCentre, end: cancel}
 	be.hs = httptest.NewServer(handler(be))
 	be.wg.Go(func() { be.announce(ctx) })
 	wd.t.Cleanup(func() {
@@ -267,7 +279,7 @@
 	defer tk.Stop()
 	for seq := 1; ; seq++ {
 		beat, err := json.Marshal(map[string]any{
-			"service": be.service, "address": be.hs.Listener.Addr().String(), "zone": "north", "version": "v1",
+			"service": be.service, "address": be.hs.Listener.Addr().String(), "zone": be.dataCentre, "version": "v1",
 			"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "seq": seq,
 		})
 		if err != nil {
