warmup, replica, gateway: cold backend servers get no more than they bear

Nothing bounded them: 1.5 times the slowness was assumed, no more.

The service's warm-up time and rate are part of the route table. An entry instance divides the rate by the number of those that callers are led to, without a message for each request (package warmup): few keep a spacing that adds up to the rate; many send one request each in any second, and where they are more than the bound allows, lots decide who takes part. A server that was not ready counts as cold until its warm-up time has passed, since it may have become cold meanwhile and says so only with its next announcement. First attempts, hedges, retries and probes all count. What is left of a shard is given up at once if all of it is cold: 503 with when to come back, or left out of a merged answer.

Services without a rate are treated as before.

--- a/emulate/configuration.go
+++ b/emulate/configuration.go
@@ -38,7 +38,9 @@
 type Service struct {
 	Name        string
 	HealthPath  string
-	Connections int // Connections is what one backend server accepts from all callers together.
+	Connections int           // Connections is what one backend server accepts from all callers together.
+	Warmup      time.Duration // Warmup is how long a server is cold after it starts.
+	WarmupRate  float64       // WarmupRate is how many requests a second it bears then; 0 if that isn't bounded.
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -54,16 +56,19 @@
 	type plain struct {
 		Version  uint64
 		Routes   []map[string]any
-		Services []Service
+		Services []map[string]any
 		Limits   map[string]any
 	}
-	pl := plain{Version: cf.Version, Services: cf.Services, Limits: map[string]any{
+	pl := plain{Version: cf.Version, Limits: map[string]any{
 		"HeaderBytes": cf.Limits.HeaderBytes, "BodyBytes": cf.Limits.BodyBytes,
 		"HeaderTimeout": cf.Limits.HeaderTimeout.String(), "IdleTimeout": cf.Limits.IdleTimeout.String(),
 	}}
 	for _, ro := range cf.Routes {
 		pl.Routes = append(pl.Routes, ro.encode())
 	}
+	for _, se := range cf.Services {
+		pl.Services = append(pl.Services, se.encode())
+	}
 	data, err := json.Marshal(pl)
 	if err != nil {
 		panic(err) // A map of numbers and texts can always be encoded, but for infinite shares.
@@ -71,6 +76,13 @@
 	return data
 }
 
+func (se Service) encode() map[string]any {
+	return map[string]any{
+		"Name": se.Name, "HealthPath": se.HealthPath, "Connections": se.Connections,
+		"Warmup": se.Warmup.String(), "WarmupRate": se.WarmupRate,
+	}
+}
+
 func (ro Route) encode() map[string]any {
 	out := map[string]any{
 		"Name": ro.Name, "Host": ro.Host, "Prefix": ro.Prefix, "Timeout": ro.Timeout.String(), "Aim": ro.Aim.String(),
@@ -107,7 +119,7 @@
 	}
 	ses := make([]route.Service, 0, len(cf.Services))
 	for _, se := range cf.Services {
-		ses = append(ses, route.Service{Name: se.Name, HealthPath: se.HealthPath, MaxConnections: se.Connections})
+		ses = append(ses, route.Service{Name: se.Name, HealthPath: se.HealthPath, MaxConnections: se.Connections, Warmup: se.Warmup, WarmupRate: se.WarmupRate})
 	}
 	return route.New(cf.Version, ros, ses, route.Limits(cf.Limits))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"balsamwinch.example/route"
 	"balsamwinch.example/timer"
 	"balsamwinch.example/upstream"
+	"balsamwinch.example/warmup"
 )
 
 // Names are the header names that callers and backend servers use.
@@ -53,6 +54,9 @@
 	CallerDistance time.Duration // CallerDistance is the one-way time to a caller.
 	HoldMargin     time.Duration // HoldMargin is kept between the end of a hold and a route's aim.
 	MostActive     int           // MostActive bounds the requests under way.
+	// Warmup holds the Overage and Slack of requests to cold backend servers; the rest of
+	// it each service names.
+	Warmup warmup.Limit
 }
 
 // Server serves callers.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"balsamwinch.example/registry"
+	"balsamwinch.example/replica"
 	"balsamwinch.example/roster"
 	"balsamwinch.example/route"
 	"balsamwinch.example/upstream"
+	"balsamwinch.example/warmup"
 )
 
 // entryMemory is how long an entry instance that was seen still counts. One that
@@ -75,7 +77,7 @@
 	defer sv.mu.Unlock()
 	entries := sv.sharing(sv.ts.Now())
 	part := sv.connectionPart()
-	shares := make(map[string]int)
+	shares, warmups := make(map[string]int), make(map[string]replica.Warmup)
 	sc := &scarcity{home: make(map[string]bool), away: make(map[string]bool)}
 	targets := make(map[string]upstream.Target)
 	for name, ses := range sv.servers {
@@ -87,6 +89,9 @@
 			}
 		}
 		shares[name] = most
+		if wa := sv.warmup(tb, name); wa.Bounded() {
+			warmups[name] = replica.Warmup{Part: wa.Divide(entries), Duration: wa.Duration}
+		}
 		for _, se := range ses {
 			targets[se.ID] = upstream.Target{ID: se.ID, Address: se.Address, Born: se.Born, Connections: most, Idle: sc.idle(se.ID)}
 		}
@@ -95,6 +100,7 @@
 	maps.DeleteFunc(sv.limits, func(name string, _ int) bool { return sv.servers[name] == nil })
 	sv.shares.Store(&shares)
 	sv.re.Limit(shares)
+	sv.re.Warm(warmups)
 	sv.re.Home(sc.home)
 	sv.up.Retain(targets)
 	sv.qu.wakeAll()
@@ -109,6 +115,17 @@
 	return max(1, entries)
 }
 
+// warmup returns what a cold backend server of a service bears.
+func (sv *Server) warmup(tb *route.Table, name string) warmup.Limit {
+	if tb == nil {
+		return warmup.Limit{}
+	}
+	se, _ := tb.Service(name)
+	wa := sv.cf.Warmup
+	wa.Rate, wa.Duration = se.WarmupRate, se.Warmup
+	return wa
+}
+
 // limit returns how many connections a backend server of a service takes, 0 if
 // that is not known. A service that a new version no longer names keeps its
 // limit: requests that began under the version before still go there.
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -84,6 +84,7 @@
 	if !ok {
 		ca = tb.best(cas)
 	}
+	ca.se.permit = ca.se.permit.used(at)
 	return Pick{
 		Server: ca.se.record, Doubtful: ca.standing != sound, se: ca.se, number: ca.se.take(at, wo),
 	}, true
@@ -95,7 +96,7 @@
 	cas := tb.candidates[:0]
 	hedge := len(as.Avoid) > 0
 	for _, se := range tb.services[as.Service] {
-		if !tb.usable(se, as) {
+		if !tb.usable(se, as) || !tb.permits(at, se) {
 			continue
 		}
 		ca := candidate{se: se, standing: se.standing(at), expected: se.expected(at, wo.typical(), hedge), handicap: 1}
--- a/replica/server.go
+++ b/replica/server.go
@@ -75,6 +75,9 @@
 	waiting, slots, pace int           // These are as reported.
 	loaded               time.Duration // loaded is when they were.
 
+	returned time.Duration // returned is when it was ready again after it had not been.
+	permit   permit        // permit bounds the requests to it while it is cold.
+
 	news outlier.Sample // news is what is to be told of it; see news.go.
 	// slowFirst, slowLast and quickSent are when the slow and quick requests of the news
 	// were sent.
@@ -96,7 +99,7 @@
 }
 
 func newServer(at time.Duration, re registry.Server) *server {
-	se := &server{record: re, renewed: at, answered: never, silent: never, doubted: never, loaded: never}
+	se := &server{record: re, renewed: at, answered: never, silent: never, doubted: never, loaded: never, returned: never}
 	if re.WarmMillis > 0 {
 		se.slowness = math.Log(warmSlow)
 	}
--- a/replica/table.go
+++ b/replica/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	moved      map[incarnation]bool // moved are the servers that moved.
 	movedOrder []incarnation        // movedOrder lists them, the oldest first.
 	limits     map[string]int       // limits are the most requests in flight at one server, by service.
+	warmups    map[string]Warmup    // warmups are of services whose cold servers bear a bounded rate.
 	candidates []candidate          // candidates is room for those of one choice.
 	home       map[string]bool      // home are the ids preferred like those in the own data centre.
 	newsFrom   string               // newsFrom is the id after which the next news begin.
@@ -115,6 +117,9 @@
 				se = newServer(at, re)
 				se.moved = tb.moved[incarnationOf(re)]
 			}
+			if se.record.State != registry.Ready && re.State == registry.Ready {
+				se.returned = at
+			}
 			se.record = re
 			tb.servers[re.ID] = se
 			if re.State == registry.Ready {
@@ -146,6 +151,32 @@
 	tb.limits = most
 }
 
+// Warm takes over of which services cold servers bear a bounded rate, and this instance's
+// part of it. The map must not be changed later.
+func (tb *Table) Warm(was map[string]Warmup) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.warmups = was
+}
+
+// Warming reports whether all ready servers that aren't avoided may not be asked now because
+// they are cold.
+func (tb *Table) Warming(now time.Time, as Ask) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	at, warming := tb.at(now), false
+	for _, se := range tb.services[as.Service] {
+		if se.moved || slices.Contains(as.Avoid, se.record.ID) {
+			continue
+		}
+		if tb.permits(at, se) {
+			return false
+		}
+		warming = true
+	}
+	return warming
+}
+
 // Home takes over the ids of servers that are preferred as those in the own data
 // centre are. The map must not be changed later.
 func (tb *Table) Home(ids map[string]bool) {
--- a/route/route.go
+++ b/route/route.go
@@ -72,6 +72,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // MaxConnections is what one backend server accepts from all callers together.
+	// Warmup is how long a backend server is cold after it starts, and WarmupRate how many
+	// requests a second it bears then; 0 if that isn't bounded.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -34,6 +34,7 @@
 const (
 	CauseNone     Cause = iota
 	CauseNoServer       // No backend server of the shard is known.
+	CauseCold           // Its backend servers are cold and get what they bear already.
 	CauseBusy           // No connection or slot was to be had, so nothing was sent.
 	CauseBudget         // The retry budget is spent.
 	CauseNotRun         // Backend servers refused it unrun, or were not reached.
@@ -276,6 +277,8 @@
 	switch ca {
 	case CauseNoServer:
 		return "no backend server is known"
+	case CauseCold:
+		return "backend servers are warming up"
 	case CauseBusy:
 		return "no connection was free"
 	case CauseBudget:
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -32,6 +32,7 @@
 	Limits      MachineLimits
 	Timing      Timing
 	Budget      Budget
+	Warmup      Warmup
 	Metrics     string // Metrics is the IP:port for metrics; none if empty.
 }
 
@@ -73,6 +74,13 @@
 	Window time.Duration
 }
 
+// Warmup bounds what arrives at a cold backend server in any second: Overage times the
+// rate that its service names, and Slack.
+type Warmup struct {
+	Overage float64
+	Slack   float64
+}
+
 // Defaults returns the settings that a file need not name.
 func Defaults() Settings {
 	return Settings{
@@ -88,6 +96,7 @@
 			Heartbeat:      100 * time.Millisecond,
 		},
 		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Warmup: Warmup{Overage: 1},
 		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
@@ -129,6 +138,8 @@
 		return &fieldError{"DataFolder", "a folder, since this is a control instance", "nothing"}
 	case se.Entry() && se.Control():
 		return &fieldError{"Listen", "an address for Callers or for Control", "both"}
+	case se.Warmup.Overage < 1 || se.Warmup.Slack < 0:
+		return &fieldError{"Warmup", "an Overage of at least 1 and a Slack of at least 0", fmt.Sprint(se.Warmup.Overage, " and ", se.Warmup.Slack)}
 	case se.Losses < 0:
 		return &fieldError{"Losses", "0 or more", fmt.Sprint(se.Losses)}
 	}
--- /dev/null
+++ b/warmup/warmup_test.go
@@ -0,0 +1,53 @@
+package warmup
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestDivide(t *testing.T) {
+	li := Limit{Rate: 12, Overage: 1.5, Slack: 5}
+	qt.Assert(t, li.Most(), qt.Equals, 23)
+	tests := []struct {
+		senders int
+		want    Part
+	}{
+		{1, Part{Share: 1, Spacing: 2 * time.Second / 12}},
+		{9, Part{Share: 1, Spacing: 11 * time.Second / 12}},
+		{18, Part{Share: 1, Spacing: 22 * time.Second / 12}},
+	}
+	for _, tt := range tests {
+		qt.Assert(t, li.Divide(tt.senders), qt.Equals, tt.want)
+	}
+	many := li.Divide(67)
+	qt.Assert(t, many.Spacing >= leastSpacing, qt.IsTrue)
+	qt.Assert(t, many.Share > 0.05 && many.Share < 0.2, qt.IsTrue, qt.Commentf("%v", many))
+	qt.Assert(t, Limit{}.Bounded(), qt.IsFalse)
+}
+
+// Guards against parts that add up to more than a cold server bears, or to nothing.
+func TestDivideHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		li := Limit{
+			Rate:    rapid.Float64Range(0.1, 200).Draw(rt, "rate"),
+			Overage: rapid.Float64Range(0, 3).Draw(rt, "overage"),
+			Slack:   rapid.Float64Range(0, 50).Draw(rt, "slack"),
+		}
+		senders := rapid.IntRange(0, 2000).Draw(rt, "senders")
+		pa := li.Divide(senders)
+		if pa.Share <= 0 || pa.Share > 1 || pa.Spacing <= 0 {
+			rt.Fatalf("no part: %v", pa)
+		}
+		taking := float64(max(1, senders)) * pa.Share
+		if sum := taking / pa.Spacing.Seconds(); sum > li.Rate*1.001 {
+			rt.Fatalf("%v a second together", sum)
+		}
+		most := float64(li.Most())
+		if pa.Spacing > time.Second && taking > most || pa.Spacing <= time.Second && taking+li.Rate > most {
+			rt.Fatalf("%v take part with a spacing of %v, allowed %v", taking, pa.Spacing, most)
+		}
+	})
+}
