--- a/replica/warm_test.go
+++ b/replica/warm_test.go
@@ -45,6 +45,7 @@
 	now := time.Unix(1000, 0)
 	tb := warmTable(now, time.Second)
 	as := Ask{Service: "shard", Work: "w", Avoid: []string{"warm"}}
+	tb.Warming(now, as) // The server turns cold now.
 	qt.Assert(t, tb.Warming(now.Add(time.Second), as), qt.IsFalse)
 	_, ok := tb.Choose(now.Add(time.Second), as)
 	qt.Assert(t, ok, qt.IsTrue)
