--- a/emulate/announce.go
+++ b/emulate/announce.go
@@ -76,6 +76,18 @@
 	return co.call(ctx, http.MethodGet, "/configuration", nil)
 }
 
+// Evacuate has a data centre evacuated.
+func (co *Control) Evacuate(ctx context.Context, dataCentre string) error {
+	_, err := co.call(ctx, http.MethodPut, "/evacuations/"+url.PathEscape(dataCentre), nil)
+	return err
+}
+
+// Withdraw has an evacuation withdrawn.
+func (co *Control) Withdraw(ctx context.Context, dataCentre string) error {
+	_, err := co.call(ctx, http.MethodDelete, "/evacuations/"+url.PathEscape(dataCentre), nil)
+	return err
+}
+
 // call asks one control instance after the other, each once, beginning with
 // another one each time.
 func (co *Control) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
--- a/emulate/soak/arrivals.go
+++ b/emulate/soak/arrivals.go
@@ -60,6 +60,7 @@
 			return fmt.Sprintf("a request came %v after the server's leaving was acknowledged", after)
 		})
 	}
+	ju.evacuation(sn)
 	rq, ok := ju.requests[sn.Request]
 	if !ok {
 		return
@@ -84,6 +85,18 @@
 	ju.budget(sn, service, ar)
 }
 
+// evacuation checks that a request came to a server of a data centre that may get some.
+func (ju *Judge) evacuation(sn emulate.Seen) {
+	since, ok := ju.evacuated[ju.centres[sn.Server]]
+	if !ok {
+		return
+	}
+	after := sn.At.Sub(since)
+	ju.look(CheckEvacuated, after <= ju.cf.Checks.Drain+ju.cf.Checks.DrainSlack, Breach{Request: sn.Request, Instance: sn.Server}, sn.At, func() string {
+		return fmt.Sprintf("a request came %v after the evacuation of %s was acknowledged", after, ju.centres[sn.Server])
+	})
+}
+
 // budget checks the window that ends with an arrival beyond the first. The first
 // arrivals are counted for a moment longer: an entry instance counts a request when
 // it takes it, which may be a whole timeout before the first arrival of another.
--- a/emulate/soak/fleet.go
+++ b/emulate/soak/fleet.go
@@ -79,7 +79,7 @@
 	if len(se.Paces) > 0 {
 		cf.Pace = se.Paces[nth%len(se.Paces)]
 	}
-	fl.ju.ServerStarted(cf.ID, service)
+	fl.ju.ServerStarted(cf.ID, service, cf.DataCentre)
 	return fl.ss.Start(cf)
 }
 
--- a/emulate/soak/judge.go
+++ b/emulate/soak/judge.go
@@ -26,6 +26,7 @@
 	CheckBudget      Check = "budget"      // Arrivals beyond the first stay within the budget in any window, for each service.
 	CheckFatal       Check = "fatal"       // A request under which three servers have ended reaches servers in three more attempts at most.
 	CheckBlame       Check = "blame"       // No other request is refused as one under which servers end.
+	CheckEvacuated   Check = "evacuated"   // No request reaches a server in a data centre later than the drain time after its evacuation was acknowledged.
 	CheckConnections Check = "connections" // A backend server's connections stay within its limit.
 )
 
@@ -33,7 +34,7 @@
 func ChecksInOrder() []Check {
 	return []Check{
 		CheckStamp, CheckShards, CheckTwice, CheckSet, CheckRecords, CheckNotRun, CheckOnce,
-		CheckDrain, CheckVersion, CheckAccepted, CheckRefused, CheckBudget, CheckConnections, CheckFatal, CheckBlame,
+		CheckDrain, CheckVersion, CheckAccepted, CheckRefused, CheckBudget, CheckConnections, CheckFatal, CheckBlame, CheckEvacuated,
 	}
 }
 
@@ -94,8 +95,10 @@
 	mu           sync.Mutex // mu guards what follows.
 	tallies      map[Check]*Tally
 	breaches     []Breach
-	servers      map[string]string // servers are the services of the servers by id.
-	offers       []offer           // offers are in the order of their versions.
+	servers      map[string]string    // servers are the services of the servers by id.
+	centres      map[string]string    // centres are the data centres of the servers by id.
+	evacuated    map[string]time.Time // evacuated is since when data centres are, by the word of control.
+	offers       []offer              // offers are in the order of their versions.
 	data         map[uint64]string
 	acknowledged uint64
 	entries      map[string]*entryLife
@@ -119,6 +122,7 @@
 func NewJudge(cf Settings, under func() []string) *Judge {
 	ju := &Judge{
 		cf: cf, under: under, tallies: make(map[Check]*Tally), servers: make(map[string]string),
+		centres: make(map[string]string), evacuated: make(map[string]time.Time),
 		data: make(map[uint64]string), entries: make(map[string]*entryLife), requests: make(map[string]*request),
 		leaving: make(map[string]time.Time), resets: make(map[string]int), budgets: make(map[string]*arrivals),
 		harms: make(map[string]*harm),
@@ -169,10 +173,26 @@
 }
 
 // ServerStarted tells of a backend server before it starts.
-func (ju *Judge) ServerStarted(id, service string) {
+func (ju *Judge) ServerStarted(id, service, dataCentre string) {
 	ju.mu.Lock()
 	defer ju.mu.Unlock()
-	ju.servers[id] = service
+	ju.servers[id], ju.centres[id] = service, dataCentre
+}
+
+// Evacuated tells that the evacuation of a data centre was acknowledged. It counts as a
+// look: from now on each arrival there is judged, and at best none comes.
+func (ju *Judge) Evacuated(dataCentre string, at time.Time) {
+	ju.mu.Lock()
+	defer ju.mu.Unlock()
+	ju.evacuated[dataCentre] = at
+	ju.look(CheckEvacuated, true, Breach{}, at, nil)
+}
+
+// Returning tells that the evacuation of a data centre is about to be withdrawn.
+func (ju *Judge) Returning(dataCentre string) {
+	ju.mu.Lock()
+	defer ju.mu.Unlock()
+	delete(ju.evacuated, dataCentre)
 }
 
 // Offered tells of a configuration before an operator sends it for the first time.
--- a/emulate/soak/judge_test.go
+++ b/emulate/soak/judge_test.go
@@ -33,8 +33,8 @@
 	rc := &recorded{NewJudge(cf, func() []string { return []string{"EntryKill 1"} })}
 	rc.ju.Begin(epoch)
 	for _, service := range []string{"a", "b", "c", "d", "p", "q"} {
-		rc.ju.ServerStarted(service+"1", service)
-		rc.ju.ServerStarted(service+"2", service)
+		rc.ju.ServerStarted(service+"1", service, "north")
+		rc.ju.ServerStarted(service+"2", service, "south")
 	}
 	rc.ju.EntryStarted("entry")
 	rc.ju.Offered(at(0), 1, Layout{[]string{"a", "b"}, "p"}, []byte("one"))
@@ -136,6 +136,10 @@
 		rc.fatal(21003, emulate.SeenArrived, id)
 	}
 	rc.refusedAsFatal("f5", "/plain/fatal-1")
+	rc.ju.Evacuated("south", at(23000))
+	rc.saw(26500, emulate.SeenArrived, "p2", "unknown")
+	rc.ju.Returning("south")
+	rc.saw(26502, emulate.SeenArrived, "p2", "unknown")
 	rc.ju.Acknowledged(3)
 	rc.ju.Acknowledged(1)
 	rc.ju.ReadBack(at(17000), rc.ju.Newest(), 3, []byte("three"))
@@ -221,6 +225,11 @@
 			rc.saw(1000, emulate.SeenLeaving, "a1", "")
 			rc.saw(4501, emulate.SeenArrived, "a1", "m")
 		}},
+		{"an arrival after an evacuation", CheckEvacuated, func(rc *recorded) {
+			rc.ju.Evacuated("south", at(1000))
+			rc.saw(4501, emulate.SeenArrived, "p1", "m")
+			rc.saw(4501, emulate.SeenArrived, "p2", "m")
+		}},
 		{"a reverted version", CheckVersion, func(rc *recorded) {
 			rc.plain(1500, "p", "q1")
 			rc.plain(1600, "r", "p1")
--- a/emulate/soak/operator.go
+++ b/emulate/soak/operator.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// order sends an order until it is acknowledged.
+func (op *operator) order(ctx context.Context, send func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	for {
+		err := send(ctx)
+		if err == nil || op.ts.Sleep(ctx, sendAgain) != nil {
+			return err
+		}
+	}
+}
+
 // refused reports whether control said that a configuration is invalid.
 func refused(err error) bool {
 	var re *result.Error
--- a/emulate/soak/player.go
+++ b/emulate/soak/player.go
@@ -87,6 +87,8 @@
 		return pl.fatal(ctx, fa)
 	case partOperator:
 		return pl.operate(ctx, fa)
+	case partDataCentre:
+		return pl.evacuate(ctx, fa)
 	}
 	switch fa.Kind {
 	case ServerCrash, ServiceCrash:
@@ -164,6 +166,19 @@
 	return errors.Join(err, pl.startAll([]string{name}))
 }
 
+// evacuate has a data centre evacuated for a while. It is withdrawn though the run ends:
+// nothing is to be found halfway.
+func (pl *player) evacuate(ctx context.Context, fa Fault) error {
+	dc := pl.cf.Tier.DataCentres[fa.Target]
+	err := pl.op.order(ctx, func(ctx context.Context) error { return pl.op.co.Evacuate(ctx, dc) })
+	if err == nil {
+		pl.ju.Evacuated(dc, pl.ts.Now())
+	}
+	pl.last(ctx, fa)
+	pl.ju.Returning(dc)
+	return errors.Join(err, pl.op.order(context.Background(), func(ctx context.Context) error { return pl.op.co.Withdraw(ctx, dc) }))
+}
+
 // crash ends servers at once, and has others come back in their positions.
 func (pl *player) crash(ctx context.Context, fa Fault, back func(position int, old *emulate.Server) error) error {
 	var errs []error
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -37,6 +37,7 @@
 	ConfigInvalid Kind = "ConfigInvalid" // ConfigInvalid sends one that must be refused.
 	ServerAgain   Kind = "ServerAgain"   // ServerAgain ends a backend server at once; it starts again under its id.
 	RequestFatal  Kind = "RequestFatal"  // RequestFatal is a request that ends each server that runs it, sent again and again.
+	Evacuate      Kind = "Evacuate"      // Evacuate has a data centre evacuated, and that withdrawn.
 	ControlHang   Kind = "ControlHang"   // ControlHang makes a control instance stand still with its connections open.
 )
 
@@ -47,7 +48,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, ControlHang, RequestFatal, // At the end, so that seeds of before draw what they drew.
+		ServerAgain, ControlHang, RequestFatal, Evacuate, // At the end, so that seeds of before draw what they drew.
 	}
 }
 
@@ -61,6 +62,7 @@
 	partShards
 	partOperator
 	partRequest
+	partDataCentre
 )
 
 func (ki Kind) part() part {
@@ -73,6 +75,8 @@
 		return partShards
 	case RequestFatal:
 		return partRequest
+	case Evacuate:
+		return partDataCentre
 	case ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid:
 		return partOperator
 	default:
@@ -154,7 +158,7 @@
 	}
 	fc := dr.cf.Faults
 	fa := Fault{Kind: ki, At: at, For: fc.Least + time.Duration(dr.rd.Float64()*float64(fc.Most-fc.Least)), Value: dr.rd.Float64()}
-	many := map[part]int{partControl: dr.cf.Tier.Controls, partEntry: dr.cf.Tier.Entries, partServer: dr.cf.positions()}[ki.part()]
+	many := map[part]int{partControl: dr.cf.Tier.Controls, partEntry: dr.cf.Tier.Entries, partServer: dr.cf.positions(), partDataCentre: len(dr.cf.Tier.DataCentres)}[ki.part()]
 	target := dr.rd.Uint64()
 	if many > 0 {
 		fa.Target = int(target % uint64(many))
@@ -201,7 +205,7 @@
 			continue
 		}
 		switch fa.Kind.part() {
-		case partShards, partRequest:
+		case partShards, partRequest, partDataCentre:
 			return false
 		case partEntry:
 			entries++
--- a/emulate/soak/schedule_test.go
+++ b/emulate/soak/schedule_test.go
@@ -19,7 +19,7 @@
 		return time.Duration(rapid.IntRange(least*10, most*10).Draw(t, name)) * time.Second / 10
 	}
 	cf := Settings{
-		Tier:          experiment.Tier{Entries: rapid.IntRange(1, 5).Draw(t, "entries"), Controls: rapid.IntRange(1, 5).Draw(t, "controls")},
+		Tier:          experiment.Tier{Entries: rapid.IntRange(1, 5).Draw(t, "entries"), Controls: rapid.IntRange(1, 5).Draw(t, "controls"), DataCentres: []string{"a", "b"}},
 		Servers:       experiment.Servers{Shards: rapid.IntRange(1, 3).Draw(t, "shards"), Replicas: rapid.IntRange(1, 3).Draw(t, "replicas")},
 		PlainServices: 2,
 		Quiet:         seconds(0, 3, "quiet"),
@@ -58,7 +58,7 @@
 
 // ill returns what is wrong with a fault that comes after others.
 func ill(cf Settings, fa Fault, before []Fault) string {
-	target := map[part]int{partControl: cf.Tier.Controls, partEntry: cf.Tier.Entries, partServer: cf.positions(), partShards: 1, partOperator: 1, partRequest: 1}
+	target := map[part]int{partControl: cf.Tier.Controls, partEntry: cf.Tier.Entries, partServer: cf.positions(), partShards: 1, partOperator: 1, partRequest: 1, partDataCentre: len(cf.Tier.DataCentres)}
 	switch {
 	case cf.Faults.Weights[fa.Kind] == 0:
 		return "its kind has no weight"
@@ -84,6 +84,8 @@
 			entries++
 		case same && fa.Kind.part() == partShards:
 			return "two repartitions at once"
+		case same && fa.Kind.part() == partDataCentre:
+			return "two evacuations at once"
 		}
 		if same && (fa.Kind.part() == partEntry || fa.Kind.part() == partServer) && slices.ContainsFunc(places(cf, fa), func(ta int) bool { return slices.Contains(places(cf, ot), ta) }) {
 			return "its target has a fault"
