scatter, gateway: a part that waits for a connection is waited for until the deadline

What callers saw: in a burst with a shard gone and slow servers, 77 of 200 wide requests at eight entry instances ended 502 after 108 ms, the end of the hold, with 0.8 s to wait. Cause: a shard whose servers have no connection free was given up at Offer, which is the end of the hold for merged requests; where one part may be missing, two such shards fail the whole. The caller comes again at once and has all 36 shards asked once more, so the sound server of a short shard gets more still.

Want of a connection (Room) is waited for until the deadline now; a shard of which no server is known is given up at the end of the hold as before (TestShardWithoutServers, unchanged). The answer comes late, whole, and the shards are asked once.

--- a/scatter/events.go
+++ b/scatter/events.go
@@ -19,7 +19,7 @@
 }
 
 // Denied says that an attempt could not be begun and may be tried again later.
-// At Offer a shard that nobody is asked for is given up: a caller that waits
+// At Offer, or Room, a shard that nobody is asked for is given up: a caller that waits
 // for nothing is better told so at once.
 func (qu *Query) Denied(now time.Time, po int, ca Cause, again time.Time) {
 	sh := &qu.shards[po]
@@ -28,21 +28,25 @@
 		return
 	}
 	sh.blame(ca)
-	if !now.Before(qu.pl.Offer) {
+	until := qu.pl.Offer
+	if ca != CauseNoServer {
+		until = qu.pl.Room
+	}
+	if !now.Before(until) {
 		qu.lose(sh)
 		qu.settle(now)
 		return
 	}
-	sh.next = qu.withinOffer(again)
+	sh.next = earlier(again, until)
 }
 
-// withinOffer returns the time of the next look, at Offer at the latest: given up
-// is what can't be had by then, and not some time later.
-func (qu *Query) withinOffer(at time.Time) time.Time {
-	if at.After(qu.pl.Offer) {
-		return qu.pl.Offer
+// earlier returns the earlier time. A shard is given up just when its time is over, and
+// not at the next look after that.
+func earlier(one, other time.Time) time.Time {
+	if one.After(other) {
+		return other
 	}
-	return at
+	return one
 }
 
 // Nobody says that nobody is left who could be asked for a shard and that nobody is
@@ -135,21 +139,21 @@
 // is this instance's own lack and no refusal of a backend server: counted as one, a
 // burst of requests right after a start, while connections are few, would fail
 // within milliseconds although the servers have room. For the same reason a part of
-// a merged answer is waited for as long as the other parts are, since Offer is Hold
-// there.
+// a merged answer is waited for beyond the time of the other parts, as far as Room:
+// failed for want of it, the caller comes again and has all shards asked once more.
 func (qu *Query) busy(now time.Time, sh *shard) {
 	sh.blame(CauseBusy)
 	if sh.flying > 0 {
 		return
 	}
-	if !now.Before(qu.pl.Offer) && sh.ran == 0 && sh.refused == 0 {
+	if !now.Before(qu.pl.Room) && sh.ran == 0 && sh.refused == 0 {
 		qu.lose(sh)
 		return
 	}
 	sh.next = now.Add(qu.pl.Pause << min(sh.busy, busyDoublings))
 	sh.busy++
 	if sh.ran == 0 && sh.refused == 0 {
-		sh.next = qu.withinOffer(sh.next)
+		sh.next = earlier(sh.next, qu.pl.Room)
 	}
 }
 
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -18,6 +18,7 @@
 	MaxAttempts int           // MaxAttempts is how many backend servers may run the request for one shard.
 	Repeatable  bool          // Repeatable says whether a request may run more than once.
 	Offer       time.Time     // Offer is until when a shard that nobody could be asked for is tried.
+	Room        time.Time     // Room is the same for one whose servers have no connection free; Offer if zero.
 	Hold        time.Time     // Hold is until when missing parts are waited for once Least are in.
 	Deadline    time.Time     // Deadline is when the query is given up.
 	Pause       time.Duration // Pause is the time before a shard is asked again after a refusal, or the first time for want of a connection.
@@ -133,6 +134,9 @@
 
 // New returns a query that has asked nobody yet.
 func New(pl Plan) *Query {
+	if pl.Room.IsZero() {
+		pl.Room = pl.Offer
+	}
 	return &Query{pl: pl, shards: make([]shard, pl.Shards)}
 }
 
--- a/scatter/scatter_test.go
+++ b/scatter/scatter_test.go
@@ -354,3 +354,18 @@
 	qt.Assert(t, qu.End(), qt.Equals, Failed)
 	qt.Assert(t, qu.Ran(), qt.IsFalse)
 }
+
+// Guards against an answer that fails at the end of the hold for one part that waits for a
+// connection, and against waiting as long for a part that nobody is known for.
+func TestRoomOutlastsOffer(t *testing.T) {
+	pl := plan(2, 2)
+	pl.Offer, pl.Room = at(90), at(600)
+	for ca, want := range map[Cause]End{CauseBusy: Running, CauseNoServer: Failed} {
+		qu := New(pl)
+		qu.Asked(0, time.Time{})
+		qu.Replied(at(10), 0, ReplyPart)
+		qu.Denied(at(89), 1, ca, at(109))
+		qu.Denied(at(90), 1, ca, at(110))
+		qt.Assert(t, qu.End(), qt.Equals, want, qt.Commentf("%v", ca))
+	}
+}
