--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// oneSecond is the span over which requests to a cold server are counted.
-	oneSecond = time.Second
+	// countSpan is the span over which requests to a cold server are counted.
+	countSpan = time.Second
 	// leastSpacing is the least time between two requests of a sender of which at most one
 	// may fall into any second. It is longer than the second, as networks delay requests
 	// unequally.
@@ -75,7 +75,7 @@
 // spacing returns the time between two requests of each of so many senders that send so
 // many requests a second together.
 func spacing(senders, rate float64) time.Duration {
-	return time.Duration(senders / rate * float64(oneSecond))
+	return time.Duration(senders / rate * float64(countSpan))
 }
 
 // shareOf returns the greatest share with which of so many senders too many, or more, take
