--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -155,111 +155,6 @@
 	}
 }
 
-// expire drops the backend servers that have fallen silent here. They may be
-// heard by another control instance, so they are not told as gone.
-func (pu *Publisher) expire(now time.Time) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	for _, id := range pu.book.Expire(now) {
-		pu.lo.info(now, "backend-server-silent", zap.String("ID", id))
-		pu.change(now, registry.Change{Server: registry.Server{ID: id}, Dropped: true})
-	}
-}
-
-// Announce takes in what a backend server said of itself. An announcement that
-// changes nothing is not told to anyone.
-func (pu *Publisher) Announce(se registry.Server) {
-	now := pu.ts.Now()
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	if se.State == registry.Gone {
-		pu.left(now, se.ID, pu.book.Announce(now, se))
-		return
-	}
-	if pu.book.Foreign(se) {
-		pu.lo.info(now, "announcement-ignored", append(serverFields(se), zap.String("Detail", "not this backend server's own word"))...)
-		return
-	}
-	if !pu.book.Announce(now, se) {
-		return
-	}
-	pu.lo.info(now, "backend-server-announced", serverFields(se)...)
-	pu.change(now, registry.Change{Server: se})
-}
-
-// Ignore takes that something was announced under an id which no backend server says
-// of itself. It changes nothing.
-func (pu *Publisher) Ignore(id, detail string) {
-	now := pu.ts.Now()
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	pu.lo.info(now, "announcement-ignored", zap.String("ID", id), zap.String("Detail", detail))
-}
-
-// Known returns the backend servers that announce themselves here, and a number
-// that grows with every change of them.
-func (pu *Publisher) Known() ([]registry.Server, uint64) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	ses := pu.book.Records(pu.ts.Now())
-	return slices.DeleteFunc(ses, func(se registry.Server) bool { return se.State == registry.Gone }), pu.changes
-}
-
-// Changes returns the number of Known.
-func (pu *Publisher) Changes() uint64 {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	return pu.changes
-}
-
-// Restore takes in what Known returned before the process ended. What is not
-// announced again within keep is dropped. It is called before the first link.
-func (pu *Publisher) Restore(ses []registry.Server, keep time.Duration) {
-	pu.book.Restore(pu.ts.Now(), ses, keep)
-	pu.lg.Info("backend-servers-restored", zap.Int("Servers", len(ses)))
-}
-
-// Leave takes in that a backend server has ended for good.
-func (pu *Publisher) Leave(id string) {
-	now := pu.ts.Now()
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	pu.left(now, id, pu.book.Leave(now, id))
-}
-
-// left tells that a backend server has left, if that is news.
-func (pu *Publisher) left(now time.Time, id string, news bool) {
-	if !news {
-		return
-	}
-	se, _ := pu.book.Left(id)
-	pu.lo.info(now, "backend-server-left", zap.String("ID", id), zap.Int64("Born", se.Born))
-	pu.change(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone, Born: se.Born}})
-}
-
-// change makes the next update tell a change.
-func (pu *Publisher) change(now time.Time, ch registry.Change) {
-	pu.changes++
-	pu.pending.add(ch)
-	pu.arm(now)
-}
-
-// add takes in a change. The order of ids stays: which of two ids at one address
-// is the newer one follows from it. That an incarnation drains is not overtaken by
-// anything that it says later.
-func (pe *pending) add(ch registry.Change) {
-	place, ok := pe.places[ch.Server.ID]
-	if !ok {
-		pe.places[ch.Server.ID] = len(pe.servers)
-		pe.servers = append(pe.servers, ch)
-		return
-	}
-	if was := pe.servers[place].Server; !ch.Dropped && ch.Server.Born <= was.Born {
-		ch.Server.State = max(ch.Server.State, was.State)
-	}
-	pe.servers[place] = ch
-}
-
 // SetDocument takes in a configuration that is committed. A version that is not
 // higher than the one held changes nothing. The data must not be changed later.
 func (pu *Publisher) SetDocument(version uint64, data []byte) {
@@ -298,26 +193,6 @@
 	return ms
 }
 
-// Entries returns the entry instances that callers may be sent to: those with a
-// link to this control instance whose state is Ready, by name. The slice is
-// shared and must not be changed.
-func (pu *Publisher) Entries() []Entry { return *pu.ready.Load() }
-
-// Linked returns the entry instances with a link to this control instance, by name.
-func (pu *Publisher) Linked() []Entry {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	return pu.entries(func(Entry) bool { return true })
-}
-
-// HasLink reports whether an entry instance has a link to this control instance.
-func (pu *Publisher) HasLink(name string) bool {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	_, ok := pu.live[name]
-	return ok
-}
-
 // Handle serves the link of an entry instance until it or the context ends. The
 // first message on the link is given.
 func (pu *Publisher) Handle(ctx context.Context, co *link.Conn, first Subscribe) {
@@ -407,59 +282,6 @@
 	pu.lo.info(now, "entry-link-down", zap.String("Entry", sb.en.Name), zap.Stringer("State", sb.en.State), zap.Error(err))
 }
 
-// stand takes in the new state of an entry instance.
-func (pu *Publisher) stand(sb *subscriber, es EntryState) {
-	now := pu.ts.Now()
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	sb.en.State = es
-	pu.refresh(now, sb.en.Name)
-	pu.lo.info(now, "entry-state", zap.String("Entry", sb.en.Name), zap.Stringer("State", es))
-}
-
-// refresh brings the list of entry instances up to date after a change of one.
-// An instance that was started anew, or lost track of its link, may have two
-// links for a while: the newest one tells its state.
-func (pu *Publisher) refresh(now time.Time, name string) {
-	var newest *subscriber
-	for sb := range pu.subscribers {
-		if sb.listener {
-			continue
-		}
-		if sb.en.Name == name && (newest == nil || sb.number > newest.number) {
-			newest = sb
-		}
-	}
-	old, known := pu.live[name]
-	switch {
-	case newest == nil && !known, newest != nil && known && newest.en == old:
-		return
-	case newest == nil:
-		delete(pu.live, name)
-		delete(pu.loads, name)
-	default:
-		pu.live[name] = newest.en
-	}
-	ready := pu.entries(func(en Entry) bool { return en.State == Ready })
-	pu.ready.Store(&ready)
-	pu.pending.entries[name] = struct{}{}
-	pu.arm(now)
-}
-
-// entries returns the live entry instances that pass, by name.
-func (pu *Publisher) entries(pass func(Entry) bool) []Entry {
-	list := make([]Entry, 0, len(pu.live))
-	for _, en := range pu.live {
-		if pass(en) {
-			list = append(list, en)
-		}
-	}
-	slices.SortFunc(list, compareEntries)
-	return list
-}
-
-func compareEntries(a, b Entry) int { return strings.Compare(a.Name, b.Name) }
-
 // send answers a Fetch. It holds up no one but those who fetch.
 func (pu *Publisher) send(sb *subscriber, fe Fetch) {
 	pa, held, err := pu.documents.pack(sb.co, fe)
@@ -536,10 +358,3 @@
 	}
 	return up
 }
-
-func serverFields(se registry.Server) []zap.Field {
-	return []zap.Field{
-		zap.String("ID", se.ID), zap.String("Service", se.Service),
-		zap.String("Address", se.Address), zap.Stringer("State", se.State), zap.Int64("Born", se.Born),
-	}
-}
