fleet: a report that went to a line which ended is sent again on the other

What was seen: go test ./fleet failed twice beside other load. With its output kept (1 of 12 whole runs): TestOverlappingFaults waited 60 s for three voters. a had formed the group, b and c stayed unformed. In a tier the first start would stand still, and no configuration could be accepted.

Cause: two instances that dial each other at the same moment have two lines, and the one with the greater name closes its own. The other one's newest line is just that one; what it sends before it hears of the end is lost, and a report is sent again only as it changes. So b and c never heard that a had formed the group.

When a line ends and another one to the same instance is open, the report goes there again. TestReportOutlivesItsLine failed after 60 s without that.

--- a/fleet/dial.go
+++ b/fleet/dial.go
@@ -103,10 +103,19 @@
 	nd.lg.Info("line-opened", zap.String("Instance", li.name), zap.Bool("Outgoing", li.outgoing))
 	err := nd.receive(li, superfluous)
 	nd.li.remove(li)
+	nd.tellAgain(li.name)
 	nd.lg.Info("line-ended", zap.String("Instance", li.name), zap.Bool("Outgoing", li.outgoing), zap.Error(err))
 	nd.poke()
 }
 
+// tellAgain repeats the report to an instance of which a line has ended, if there is
+// another line to it: the report may have gone to the one that ended.
+func (nd *Node) tellAgain(name string) {
+	if ot := nd.li.find(name); ot != nil {
+		_ = ot.co.Send(Notice{Report: *nd.report.Load()}) // The end of a line is seen where it is read.
+	}
+}
+
 var errSuperfluous = errors.New("another line is open")
 
 func (nd *Node) receive(li, superfluous *line) error {
