soak: faults of one entry instance take turns

On a loaded machine the start takes longer, so the next kill met an instance that was still awaited, and the soak counted a fault that couldn't be played to its end.

Ruled out: an instance that ends by itself (its error would be named); a taken port (the same). A fault of an entry instance now waits for the turn of the one before it. The checks of the test are as they were.

--- a/emulate/soak/player.go
+++ b/emulate/soak/player.go
@@ -26,7 +26,8 @@
 	mu       sync.Mutex
 	under    []Fault
 	played   map[Kind]int
-	problems []string // problems are the faults that could not be played to their end.
+	turns    map[string]*sync.Mutex // turns are held by the fault of an entry instance, by name.
+	problems []string               // problems are the faults that could not be played to their end.
 }
 
 // underWay names the faults that are under way.
@@ -154,8 +155,23 @@
 	return errors.Join(errs...)
 }
 
+// turn returns what the fault of an entry instance holds until that has started again. On
+// a loaded machine this takes longer than the schedule knows, and the next fault would end
+// an instance that is still awaited.
+func (pl *player) turn(name string) *sync.Mutex {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if pl.turns[name] == nil {
+		pl.turns[name] = new(sync.Mutex)
+	}
+	return pl.turns[name]
+}
+
 func (pl *player) entry(ctx context.Context, fa Fault) error {
 	name := pl.lo.EntryNames()[fa.Target]
+	turn := pl.turn(name)
+	turn.Lock()
+	defer turn.Unlock()
 	end := pl.lo.Stop
 	if fa.Kind == EntryKill {
 		end = pl.lo.Kill
--- a/emulate/soak/run.go
+++ b/emulate/soak/run.go
@@ -94,7 +94,7 @@
 }
 
 func newRunner(cf Settings, lo *emulate.Local, ss *emulate.Servers, co *emulate.Control, ts *timer.Service) *runner {
-	pl := &player{cf: cf, lo: lo, ss: ss, ts: ts, played: make(map[Kind]int)}
+	pl := &player{cf: cf, lo: lo, ss: ss, ts: ts, played: make(map[Kind]int), turns: make(map[string]*sync.Mutex)}
 	ju := NewJudge(cf, pl.underWay)
 	pl.ju = ju
 	pl.fl = &fleet{cf: cf, ss: ss, ju: ju, ts: ts, network: anyNetwork()}
