--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -30,7 +30,7 @@
 type Order struct {
 	DataCentre string `cbor:"1,keyasint"`
 	Evacuate   bool   `cbor:"2,keyasint,omitempty"` // Evacuate is false for a withdrawal.
-	// Base is the revision of the Set that the order was given on.
+	// Base is the revision of the Set that the order is based on.
 	Base uint64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -56,8 +56,8 @@
 
 // With returns the set after an order.
 //
-// An order that was held up on its way arrives after the one that took it back. It would
-// evacuate a data centre for good; so it changes only the set that it was given on.
+// A delayed order may arrive after the one that reversed it, and applied then would evacuate
+// the data centre for good. So an order changes only the revision that it is based on.
 func (st Set) With(or Order) (Set, Outcome) {
 	at, has := slices.BinarySearch(st.DataCentres, or.DataCentre)
 	switch {
--- a/fleet/evacuate.go
+++ b/fleet/evacuate.go
@@ -14,12 +14,12 @@
 	"balsamwinch.example/result"
 )
 
-// Evacuate returns the evacuations once a data centre is evacuated, or is not any more, by
-// the word of a majority of the voters that is synced to their disks.
+// Evacuate returns the evacuations once a data centre is evacuated, or no longer is, and a
+// majority of the voters has that synced to disk.
 //
-// It must be called while the operator waits for the answer, and the context must end
-// before the operator gives up: an order that other orders overtook on its way is given
-// again on what they made, and one that outlives its operator would undo a later one.
+// An order that another one overtook is proposed again on the newer revision. So the context
+// must end before the operator gives up: an order that outlives its operator could undo a
+// later one.
 //
 // The error is a *result.Error: Invalid if the order can't be followed, ControlUnavailable
 // if the outcome is unknown.
--- a/replica/warm.go
+++ b/replica/warm.go
@@ -16,7 +16,7 @@
 // is that of a warm server.
 type permit struct {
 	cold   bool
-	chance float64       // chance decides by lot whether this instance takes part, from 0 to 1.
+	chance float64       // chance is drawn from 0 to 1; this instance takes part if it is below the share.
 	last   time.Duration // last is when a request was sent, or the server turned cold.
 }
 
@@ -28,8 +28,8 @@
 
 // permits reports whether a request may be sent to a server for all that it is cold.
 //
-// The first one waits for a random part of the spacing: servers turn cold together, and
-// all instances would send to them at the same moment.
+// The first one waits for a random part of the spacing: servers often turn cold together,
+// and all instances would send to them at the same moment.
 func (tb *Table) permits(at time.Duration, se *server) bool {
 	if len(tb.warmups) == 0 {
 		return true
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -57,8 +57,8 @@
 // where there are more senders than that.
 //
 // Few senders divide the rate among them; each may be one request ahead. Many send one
-// request each at most in any second, and if there are more senders than Most, only some
-// of them take part: by lot, as they needn't agree on who they are then.
+// request each at most in any second, and if there are more senders than Most, each takes
+// part with a probability: senders that come and go needn't agree on a list then.
 func (li Limit) Divide(senders int) Part {
 	known := float64(min(max(1, senders), mostSenders))
 	count, most := math.Ceil(known*(1+strayShare)), float64(li.Most())
