customer, route, feed: the types and message kinds that the parts for customers, quotas, overload and stalls share

Two deployments need customers with API keys and quotas, admission over all entry instances, and reports of stalled backend servers. No behaviour changes.

--- a/feed/message.go
+++ b/feed/message.go
@@ -35,8 +35,29 @@
 	kindFindings
 	kindInvite
 	kindLoadReport
+	kindQuotaRequest
+	kindQuotaGrant
+	kindOverloadReport
+	kindAdmissionLevels
+	kindStallReport
+	kindStalls
 )
 
+// Features are the messages that an instance understands beyond those of the first release.
+// An instance that gets a message of an unknown kind closes the link, so these messages are
+// sent only to instances that have announced the feature.
+type Features uint32
+
+// The features, as bits.
+const (
+	FeatureQuotas   Features = 1 << iota // QuotaRequest, QuotaGrant
+	FeatureOverload                      // OverloadReport, AdmissionLevels
+	FeatureStalls                        // StallReport, Stalls
+)
+
+// Has reports whether all of the given features are included.
+func (fe Features) Has(other Features) bool { return fe&other == other }
+
 // EntryState says whether an entry instance accepts callers.
 type EntryState uint8
 
@@ -95,6 +116,7 @@
 	State       EntryState `cbor:"4,keyasint,omitempty"`
 	Version     uint64     `cbor:"5,keyasint,omitempty"` // version of the configuration in force; 0 for none
 	FromControl bool       `cbor:"6,keyasint,omitempty"` // the subscriber is a control instance, to which no caller is sent
+	Features    Features   `cbor:"7,keyasint,omitempty"` // what the subscriber understands
 }
 
 // Kind returns the kind of the message.
@@ -143,6 +165,8 @@
 	Suspects []quarantine.Record `cbor:"8,keyasint,omitempty"` // all requests suspected of crashing servers
 
 	Evacuations *evacuation.Set `cbor:"9,keyasint,omitempty"` // nil before the first evacuation command
+
+	Features Features `cbor:"10,keyasint,omitempty"` // what the control instance understands
 }
 
 // Kind returns the kind of the message.
--- a/route/route.go
+++ b/route/route.go
@@ -54,6 +54,8 @@
 	Kind          Kind
 	Timeout       time.Duration // longest time that a caller waits
 	TargetLatency time.Duration // time within which an answer has its full value; 0 if there is none
+	Priority      int           // rank of the requests under overload; 0 is the highest
+	Public        bool          // requests need no API key
 	MaxAttempts   int           // maximum of backend servers tried for one request, per shard; below 1 means 1
 	Targets       []Target      // one for a plain route, several for a split one
 	Shards        []string      // services that hold one shard each
--- a/route/table.go
+++ b/route/table.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"balsamwinch.example/customer"
 )
 
 // Table is one version of the configuration. It is immutable and safe for
@@ -17,6 +19,7 @@
 	hosts        map[string][]node
 	hostPrefixes map[hostPrefix]struct{}
 	sharded      []*Route
+	customers    *customer.Index
 }
 
 // hostPrefix is the host and prefix of a route. No two routes share one.
@@ -152,6 +155,19 @@
 	return slices.Clone(tb.serviceList)
 }
 
+// Customers returns the customers of the configuration, or nil if requests need no API key.
+func (tb *Table) Customers() *customer.Index {
+	return tb.customers
+}
+
+// WithCustomers returns a copy of the table with the given customers; nil means that
+// requests need no API key.
+func (tb *Table) WithCustomers(ix *customer.Index) *Table {
+	co := *tb
+	co.customers = ix
+	return &co
+}
+
 // Limits returns the limits on callers.
 func (tb *Table) Limits() Limits {
 	return tb.limits
