gateway, platform, customer: require an API key when the configuration has customers

A test of platform used a route's priority as the example of a field that is not read. It is read now; the case uses the protocol of a service, and a priority or public of another type is a new case of a rejected configuration.

go test -race ./customer ./platform ./route ./result ./upstream ./gateway: ok.

--- a/customer/customer.go
+++ b/customer/customer.go
@@ -3,6 +3,11 @@
 // package uses no network and no clock.
 package customer
 
+import (
+	"fmt"
+	"io"
+)
+
 // Customer is one customer of a configuration.
 type Customer struct {
 	Name string
@@ -14,6 +19,13 @@
 	Quota       Quota
 }
 
+// Format writes the name of the customer for every verb, so that its keys don't appear in a
+// log line or error by mistake.
+func (cu Customer) Format(fs fmt.State, _ rune) { _, _ = io.WriteString(fs, cu.Name) }
+
+// MarshalText returns the name of the customer, for the same reason.
+func (cu Customer) MarshalText() ([]byte, error) { return []byte(cu.Name), nil }
+
 // Quota bounds the requests of a customer at all entry instances together. The zero Quota
 // means no bound.
 type Quota struct {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"balsamwinch.example/customer"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
@@ -33,14 +34,15 @@
 
 // call is the state of one caller's request.
 type call struct {
-	sv    *Server
-	wr    http.ResponseWriter
-	rq    *http.Request
-	tb    *route.Table
-	ro    *route.Route
-	id    string
-	start time.Time
-	body  []byte
+	sv       *Server
+	wr       http.ResponseWriter
+	rq       *http.Request
+	tb       *route.Table
+	ro       *route.Route
+	customer *customer.Customer // holder of the key; nil without one
+	id       string
+	start    time.Time
+	body     []byte
 
 	code       result.Code
 	status     int
@@ -63,6 +65,9 @@
 		return
 	}
 	ca.ro = ro
+	if !ca.authenticate() {
+		return
+	}
 	if ca.id == "" {
 		ca.respondError(http.StatusBadRequest, result.NotRunBadRequest, "no request id")
 		return
@@ -165,7 +170,7 @@
 
 // upstreamRequest returns the request that is sent to backend servers.
 func (ca *call) upstreamRequest() *upstream.Request {
-	return &upstream.Request{
+	rq := &upstream.Request{
 		Method:       ca.rq.Method,
 		URI:          ca.rq.RequestURI,
 		Host:         ca.rq.Host,
@@ -174,6 +179,8 @@
 		RequestID:    ca.id,
 		SendTargetID: true,
 	}
+	ca.setCustomer(rq)
+	return rq
 }
 
 // reject answers that the request has not run and never will, and when to retry.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,13 +36,14 @@
 	ServerID     string // ID of a backend server
 	PartStamps   string // stamps of the parts in a merged answer
 	MissingParts string // number of parts that a merged answer lacks
+	Customer     string // name of the customer that a request to a backend server is for
 }
 
 // Upstream returns the names that requests to backend servers use.
 func (na HeaderNames) Upstream() upstream.Names {
 	return upstream.Names{
 		RequestID: na.RequestID, Deadline: na.Deadline, Expect: na.ExpectServer,
-		Stamp: na.Stamp, NotRun: na.NotRun, Load: na.ServerLoad,
+		Stamp: na.Stamp, NotRun: na.NotRun, Load: na.ServerLoad, Customer: na.Customer,
 	}
 }
 
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -29,7 +29,7 @@
 // names holds the header names of the tests.
 var names = HeaderNames{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectServer: "Expect-Server", Stamp: "Stamp", NotRun: "Not-Run",
-	ServerLoad: "Load", ServerID: "Server-Id", PartStamps: "Part-Stamps", MissingParts: "Missing-Parts",
+	ServerLoad: "Load", ServerID: "Server-Id", PartStamps: "Part-Stamps", MissingParts: "Missing-Parts", Customer: "Customer-Name",
 }
 
 // host is the default host of routes and requests.
--- a/route/check.go
+++ b/route/check.go
@@ -1,9 +1,12 @@
 package route
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strings"
+
+	"balsamwinch.example/customer"
 )
 
 // maxWeightSum bounds the sum of a route's weights, so that sums of a few of
@@ -13,17 +16,31 @@
 
 // ConfigError is the first error found in a configuration.
 type ConfigError struct {
-	Route  string // route name; empty if the error is in a service
-	Field  string // field of Route or Service with the invalid value
-	Detail string // what was expected and what was found
+	Route    string // route name; empty if the error is not in a route
+	Customer string // customer name; empty if the error is not in a customer
+	Field    string // field of Route, Service or Customer with the invalid value
+	Detail   string // what was expected and what was found; never an API key
 }
 
-// Error returns the route, field and detail in one line.
+// Error returns the route or customer, the field and the detail in one line.
 func (ce *ConfigError) Error() string {
-	if ce.Route == "" {
-		return fmt.Sprintf("service: %s: %s", ce.Field, ce.Detail)
+	switch {
+	case ce.Route != "":
+		return fmt.Sprintf("route %q: %s: %s", ce.Route, ce.Field, ce.Detail)
+	case ce.Customer != "":
+		return fmt.Sprintf("customer %q: %s: %s", ce.Customer, ce.Field, ce.Detail)
+	}
+	return fmt.Sprintf("service: %s: %s", ce.Field, ce.Detail)
+}
+
+// AsConfigError returns the *ConfigError for a *customer.Error, and any other error
+// unchanged.
+func AsConfigError(err error) error {
+	var ce *customer.Error
+	if !errors.As(err, &ce) {
+		return err
 	}
-	return fmt.Sprintf("route %q: %s: %s", ce.Route, ce.Field, ce.Detail)
+	return &ConfigError{Customer: ce.Label(), Field: ce.Field, Detail: ce.Detail}
 }
 
 func (ro *Route) configError(field, format string, args ...any) error {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -22,7 +22,7 @@
 	bs = append(bs, "\r\n"...)
 	named := rq.Header["Connection"]
 	for ke, vs := range rq.Header {
-		if isReserved(ke, na) || isHopByHop(ke) || isListedIn(ke, named) {
+		if isReserved(ke, na) || (rq.HasCustomers && isCustomerHeader(ke, na)) || isHopByHop(ke) || isListedIn(ke, named) {
 			continue
 		}
 		if !isToken(ke) {
@@ -35,6 +35,12 @@
 			bs = appendLine(bs, ke, va)
 		}
 	}
+	if rq.HasCustomers && rq.Customer != "" && na.Customer != "" {
+		if !isValue(rq.Customer) {
+			return bs, false
+		}
+		bs = appendLine(bs, na.Customer, rq.Customer)
+	}
 	if len(rq.Body) > 0 || usuallyHasBody(rq.Method) {
 		bs = append(bs, "Content-Length: "...)
 		bs = strconv.AppendInt(bs, int64(len(rq.Body)), 10)
@@ -75,6 +81,19 @@
 		strings.EqualFold(name, na.Deadline) || strings.EqualFold(name, na.Expect)
 }
 
+// isCustomerHeader reports whether a header holds the caller's key or a customer's name.
+// Underscores count as hyphens, because some servers treat the two names as the same.
+func isCustomerHeader(name string, na *Names) bool {
+	const authorization = "Authorization"
+	switch len(name) {
+	case len(authorization), len(na.Customer):
+	default:
+		return false
+	}
+	name = strings.ReplaceAll(name, "_", "-")
+	return strings.EqualFold(name, authorization) || strings.EqualFold(name, na.Customer)
+}
+
 // isHopByHop reports whether a header is hop-by-hop. The name may be in any case: a
 // header that slipped through could frame the body differently from Content-Length.
 func isHopByHop(name string) bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -36,6 +36,7 @@
 	Stamp     string // server's signature of its reply
 	NotRun    string // sent by a server that didn't run the request
 	Load      string // load of the server
+	Customer  string // name of the customer that a request is for, sent to the server
 }
 
 // Config configures a Client. Zero fields take their defaults.
@@ -70,7 +71,7 @@
 		cf.Connect = connectTCP
 	}
 	na := &cf.Names
-	for _, st := range []*string{&na.RequestID, &na.Deadline, &na.Expect, &na.Stamp, &na.NotRun, &na.Load} {
+	for _, st := range []*string{&na.RequestID, &na.Deadline, &na.Expect, &na.Stamp, &na.NotRun, &na.Load, &na.Customer} {
 		*st = textproto.CanonicalMIMEHeaderKey(*st)
 	}
 	return cf
@@ -100,6 +101,11 @@
 	RequestID    string    // the reply must carry this ID; empty disables the check
 	Deadline     time.Time // the exchange ends by then; zero for none
 	SendTargetID bool      // whether to send the target's ID
+	// HasCustomers means that callers are identified by keys: Authorization and
+	// Names.Customer of Header are left out, and Names.Customer is sent with the value of
+	// Customer unless that is empty.
+	HasCustomers bool
+	Customer     string
 
 	prepared []byte // head written by Prepare
 }
