instance: finish a disk's replacement under each later leader

Cause: which disk a new one replaces was kept in the memory of the leader that added it.

The set names both disks by instance and disk; another disk of an instance is only ever added to replace a lost one, and a disk is appended to the list when it becomes a voter, so of two voters of one instance the earlier one is the lost one. No format changes: logs of earlier releases, and voter sets written by a leader of an earlier release, give the same answer.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -148,7 +148,6 @@
 		return rp
 	}
 	if ok {
-		vo.replacing[rq.ID] = old
 		vo.step(quorum.ChangeVoters{Now: now, Add: rq.ID})
 	}
 	return rp
@@ -167,27 +166,34 @@
 	return "", false
 }
 
-// removeReplaced removes lost disks whose replacement is a voter. A replacement becomes a
+// removeReplaced removes a lost disk whose replacement is a voter. A replacement becomes a
 // voter only once it has caught up, so that the state is still on a majority if a second
 // instance fails right after the repair.
 func (vo *voter) removeReplaced(now time.Time) {
 	if !vo.leads(now) {
-		clear(vo.replacing)
 		return
 	}
-	vs := vo.st.VotersAt(vo.appliedIndex)
-	for id, old := range vo.replacing {
-		if !vs.HasVoter(id) {
-			continue
-		}
-		if !includes(vs, old) {
-			delete(vo.replacing, id)
-			continue
-		}
+	if old, ok := replacedVoter(vo.st.VotersAt(vo.appliedIndex)); ok {
 		vo.step(quorum.ChangeVoters{Now: now, Remove: old})
 	}
 }
 
+// replacedVoter returns a lost disk whose replacement is a voter: of two voters of one instance
+// the earlier in the list. Another disk of an instance is added only to replace a lost one, and
+// each disk is appended to the list when it becomes a voter.
+//
+// The voter set in the log thus records the replacement, and each later leader finishes it,
+// also if a program of an earlier release led in between. If it were kept in the leader's memory,
+// it would be forgotten with the loss of leadership, and the lost disk would stay a voter.
+func replacedVoter(vs quorum.VoterSet) (quorum.ID, bool) {
+	for po, old := range vs.Voters {
+		if _, ok := findByName(vs.Voters[po+1:], nameOf(old)); ok {
+			return old, true
+		}
+	}
+	return "", false
+}
+
 func (vo *voter) status() control.StatusReply {
 	now := vo.th.ts.Now()
 	rp := control.StatusReply{
--- a/instance/voter.go
+++ b/instance/voter.go
@@ -58,7 +58,6 @@
 	proposed                  map[uint64]pendingProposal
 	waiting                   []waitingChange
 	lastReceived              map[quorum.ID]time.Time
-	replacing                 map[quorum.ID]quorum.ID // maps a new disk to the lost disk that it replaces
 }
 
 // diskID returns the identity of a voter: the instance's name and its disk's ID.
@@ -83,7 +82,6 @@
 		sm:           control.NewState(),
 		proposed:     make(map[uint64]pendingProposal),
 		lastReceived: make(map[quorum.ID]time.Time),
-		replacing:    make(map[quorum.ID]quorum.ID),
 	}
 	if rc.Snapshot.Index == 0 {
 		return vo, nil
