scatter, gateway: retry refused parts at servers that refused them

Each server of a shard was asked once for a query, so a query failed although a server that had refused a part would have accepted it some milliseconds later. Once all servers of the shard were tried, those that refused are tried again, 5 to 15 ms after the last refusal, up to twelve refusals of a part. Half of the retry budget is kept for retries without which the answer can't reach its minimum of parts. A query that fails while nothing is known to have run waits up to 5 ms for the refusals in flight, so that it can say 503 truthfully. Requests to a single service are answered as before.

Extra arrivals stay in the budget.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,6 +150,7 @@
 	if shards > 1 {
 		pl.NoServerDeadline = pl.PartialDeadline // The other shards are working by then, so rejecting earlier saves nothing.
 		pl.NoConnectionDeadline = pl.Deadline
+		pl.MaxRefusals = maxPartRefusals
 	}
 	return ca.withProbe(pl)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,7 +44,8 @@
 	services []string
 	rq       *upstream.Request
 	replies  []*upstream.Reply // newest reply of each shard
-	tried    [][]string        // IDs of the backend servers asked for each shard
+	tried    [][]string        // IDs of the backend servers that must not be asked now, for each shard
+	refusers [][]string        // IDs of those of tried that refused the request, for each shard
 	picks    []replica.Pick    // newest attempt of each shard
 	arrived  []bool            // whether a request for the shard may have reached a backend server
 	attempts []attemptRecord   // all attempts of the request
@@ -94,6 +95,7 @@
 			ex.startAttempt(ctx, now, sa)
 		}
 		if ex.qu.State() != scatter.Running {
+			ex.awaitRefusals(timer)
 			return true
 		}
 		timer.Reset(ex.qu.WakeAt(now).Sub(now))
@@ -133,9 +135,13 @@
 func (ex *executor) startAttempt(ctx context.Context, now time.Time, sa scatter.Attempt) {
 	sv := ex.ca.sv
 	service := ex.services[sa.Shard]
+	if ex.deferOptionalRetry(now, sa) {
+		return
+	}
 	if sa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, ex.picks[sa.Shard])
 	}
+	ex.allowRefusersAgain(sa.Shard)
 	rr := replica.Request{Service: service, Class: ex.ca.ro.Name, Avoid: ex.tried[sa.Shard], NoProbe: !ex.ca.repeatable() || ex.ca.probe, HedgeFraction: hedgeFraction(len(ex.services))}
 	pk, ok := ex.chooseServer(now, sa, rr)
 	if !ok {
@@ -259,6 +265,7 @@
 // handleResult passes the end of an attempt to the query.
 func (ex *executor) handleResult(res attemptResult) {
 	ex.recordEnd(ex.ca.sv.ts.Now(), res.index, res.rs)
+	ex.recordRefusal(res)
 	if mayHaveArrived(res.rs) {
 		ex.arrived[res.shard] = true
 	}
--- a/scatter/events.go
+++ b/scatter/events.go
@@ -124,13 +124,13 @@
 	if sh.inFlight > 0 {
 		return // The other attempt may still bring the part.
 	}
-	if sh.numRun >= max(1, qu.pl.MaxAttempts) || sh.numRefused > maxRefusals || (sh.numRun > 0 && !qu.pl.Repeatable) {
+	if sh.numRun >= max(1, qu.pl.MaxAttempts) || sh.numRefused > qu.pl.MaxRefusals || (sh.numRun > 0 && !qu.pl.Repeatable) {
 		qu.giveUp(sh)
 		return
 	}
 	sh.nextAt = now
 	if sh.numRefused > 1 {
-		sh.nextAt = now.Add(qu.pl.RetryDelay * time.Duration(sh.numRefused-1))
+		sh.nextAt = now.Add(qu.pl.RetryDelay * time.Duration(min(sh.numRefused-1, maxRefusalDelays)))
 	}
 }
 
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -22,9 +22,12 @@
 	PartialDeadline      time.Time // PartialDeadline is until when missing parts are awaited once MinParts are in.
 	Deadline             time.Time // Deadline is when the query expires.
 	// RetryDelay is the delay before a shard is retried after its second refusal, and by how
-	// much the delay grows with each further one; after the first refusal there is none. It
-	// is also the first delay if no connection is free.
+	// much the delay grows with each of the next two; after the first refusal there is none.
+	// It is also the first delay if no connection is free.
 	RetryDelay time.Duration
+	// MaxRefusals is how many refusals of a shard may be followed by another try; zero
+	// means 3.
+	MaxRefusals int
 	// Probe is set if servers have failed under the same request before. One server is
 	// tried alone, and others only once it has answered.
 	Probe      bool
@@ -87,10 +90,14 @@
 	Hedge                    // Hedge runs beside an attempt that is overdue.
 )
 
-// maxRefusals is how many refusals of a shard are followed by a try of another backend
-// server. Each refused attempt reached a server, so they are bounded separately from
-// MaxAttempts, which counts attempts that may have run.
-const maxRefusals = 3
+// defaultMaxRefusals is used if the Plan sets no MaxRefusals. Each refused attempt reached
+// a server, so they are bounded separately from MaxAttempts, which counts attempts that may
+// have run.
+const defaultMaxRefusals = 3
+
+// maxRefusalDelays bounds the delay after a refusal, as a multiple of RetryDelay. A server
+// that refuses a part of its requests may accept the next one, and the other parts wait.
+const maxRefusalDelays = 3
 
 // A request may be a query of death, which crashes every server that runs it. This is
 // unknown until a server has answered. A failure response proves nothing: a server may send
@@ -140,6 +147,9 @@
 	if pl.NoConnectionDeadline.IsZero() {
 		pl.NoConnectionDeadline = pl.NoServerDeadline
 	}
+	if pl.MaxRefusals <= 0 {
+		pl.MaxRefusals = defaultMaxRefusals
+	}
 	return &Query{pl: pl, shards: make([]shard, pl.Shards)}
 }
 
@@ -162,6 +172,19 @@
 	return qu.state == Running && !sh.hasPart && !sh.givenUp && sh.inFlight == 0
 }
 
+// NeedsRetries reports whether the answer can't reach MinParts without a further attempt,
+// even if all attempts in flight bring their parts. Otherwise a retry only makes a partial
+// answer more complete, or serves if an attempt in flight fails.
+func (qu *Query) NeedsRetries() bool {
+	expected := qu.numParts
+	for index := range qu.shards {
+		if sh := &qu.shards[index]; !sh.hasPart && sh.inFlight > 0 {
+			expected++
+		}
+	}
+	return expected < qu.pl.MinParts
+}
+
 // Next appends the attempts that are due now to out and returns it. Unless an event comes
 // first, it should be called again at WakeAt.
 func (qu *Query) Next(now time.Time, out []Attempt) []Attempt {
@@ -279,6 +302,17 @@
 	return false
 }
 
+// OnlyInFlight reports whether attempts are in flight and no ended one may have run the
+// request.
+func (qu *Query) OnlyInFlight() bool {
+	for _, sh := range qu.shards {
+		if sh.hasPart || sh.numRun > 0 {
+			return false
+		}
+	}
+	return qu.inFlight > 0
+}
+
 // String returns the cause in a few words.
 func (ca Cause) String() string {
 	switch ca {
--- a/scatter/scatter_test.go
+++ b/scatter/scatter_test.go
@@ -107,7 +107,7 @@
 func TestRefusalsAreBounded(t *testing.T) {
 	qu := newStartedQuery(t, plan(1, 1))
 	now := 1
-	for range maxRefusals {
+	for range defaultMaxRefusals {
 		qu.AttemptEnded(at(now), 0, OutcomeNotRun)
 		qt.Assert(t, qu.State(), qt.Equals, Running)
 		now += 20
