gateway: end a request before its caller leaves

A request ended exactly when the time that its caller announced was over, so the caller had left before it heard of the failure. It now ends sooner by twice the one-way delay to callers plus 4 ms, by a quarter of the time at most. A partial answer is due at the deadline at the latest; with a target latency beyond the deadline a query expired although enough parts were in.

The tests that stated the deadline to the millisecond state the new one. go test ./gateway ./tier: ok.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -112,15 +112,28 @@
 	return true
 }
 
-// timeout returns the smaller of the caller's timeout and the route's. A validated table
-// has a timeout for every route.
+// timeout returns the smaller of the route's timeout and of the caller's, less the time in
+// which the request and the answer are under way. A caller that stops waiting at the moment
+// of the answer would not learn of a failure. A validated table has a timeout for every
+// route.
 func (ca *call) timeout() time.Duration {
-	if callerTimeout := ca.callerTimeout(); callerTimeout > 0 {
-		return min(callerTimeout, ca.ro.Timeout)
+	callerTimeout := ca.callerTimeout()
+	if callerTimeout <= 0 {
+		return ca.ro.Timeout
 	}
-	return ca.ro.Timeout
+	ahead := min(2*ca.sv.cf.CallerDelay+answerMargin, callerTimeout/maxAheadDivisor)
+	return min(callerTimeout-ahead, ca.ro.Timeout)
 }
 
+const (
+	// answerMargin is how long this instance may take to write an answer and the caller to
+	// read it.
+	answerMargin = 4 * time.Millisecond
+	// maxAheadDivisor bounds how much sooner than the caller this instance gives up: its
+	// timeout divided by maxAheadDivisor.
+	maxAheadDivisor = 4
+)
+
 // callerTimeout returns how long the caller waits according to its header, or 0 if unknown.
 func (ca *call) callerTimeout() time.Duration {
 	ms, err := strconv.ParseInt(strings.TrimSpace(ca.rq.Header.Get(ca.sv.cf.Names.Deadline)), 10, 64)
@@ -144,7 +157,8 @@
 	pl.PartialDeadline, pl.NoServerDeadline = pl.Deadline, pl.Deadline
 	if ca.ro.TargetLatency > 0 {
 		due := ca.start.Add(ca.ro.TargetLatency - 2*ca.sv.cf.CallerDelay)
-		pl.PartialDeadline = due.Add(-ca.sv.cf.PartialMargin)
+		// Expiry takes precedence over a partial answer, so it must not come first.
+		pl.PartialDeadline = earlier(due.Add(-ca.sv.cf.PartialMargin), pl.Deadline)
 		pl.NoServerDeadline = ca.start.Add(ca.ro.TargetLatency / noServerDivisor)
 	}
 	if shards > 1 {
@@ -155,6 +169,13 @@
 	return ca.withProbe(pl)
 }
 
+func earlier(one, other time.Time) time.Time {
+	if one.After(other) {
+		return other
+	}
+	return one
+}
+
 const (
 	// rejectionDelay is the delay before a third backend server is asked after two have
 	// rejected the request.
--- a/gateway/merge_test.go
+++ b/gateway/merge_test.go
@@ -128,7 +128,7 @@
 		rg.setTable(route.Route{Prefix: "/", Timeout: time.Second, TargetLatency: 100 * time.Millisecond, Shards: shs, Merge: route.Merge{TopK: 5, LeastShare: 0.75}})
 		an := rg.send(request{uri: "/a", timeoutMillis: 600})
 		rg.checkUnknown(an)
-		qt.Assert(t, an.took, qt.Equals, 600*time.Millisecond)
+		qt.Assert(t, an.took, qt.Equals, 600*time.Millisecond-2*callerDelay-answerMargin)
 	})
 }
 
--- a/gateway/pass_test.go
+++ b/gateway/pass_test.go
@@ -296,10 +296,10 @@
 		want  []string
 	}{
 		{"none", nil, []string{"2000", "1900"}},
-		{"sooner", []string{"Deadline-Ms: 300"}, []string{"300", "200"}},
-		{"with spaces", []string{"Deadline-Ms:  300 "}, []string{"300", "200"}},
-		{"later", []string{"Deadline-Ms: 2001"}, []string{"2000", "1900"}},
-		{"one more than the delay", []string{"Deadline-Ms: 101"}, []string{"101", "1"}},
+		{"sooner", []string{"Deadline-Ms: 300"}, []string{"290", "190"}},
+		{"with spaces", []string{"Deadline-Ms:  300 "}, []string{"290", "190"}},
+		{"later", []string{"Deadline-Ms: 2011"}, []string{"2000", "1900"}},
+		{"one more than the delay", []string{"Deadline-Ms: 111"}, []string{"101", "1"}},
 		{"zero", []string{"Deadline-Ms: 0"}, []string{"2000", "1900"}},
 		{"negative", []string{"Deadline-Ms: -5"}, []string{"2000", "1900"}},
 		{"not a number", []string{"Deadline-Ms: soon"}, []string{"2000", "1900"}},
@@ -325,7 +325,9 @@
 }
 
 // The backend server never answers. The caller gets the answer that the outcome is unknown
-// exactly when its own timeout or the route's ends, whichever is first.
+// when the route's timeout ends or just before its own does, whichever is first. At its own
+// timeout it used to have left before the answer came. A short timeout loses a quarter at
+// most.
 func TestTimeoutOfCallerAndRoute(t *testing.T) {
 	tests := []struct {
 		kind  route.Kind
@@ -333,8 +335,9 @@
 		want  time.Duration
 	}{
 		{route.Repeatable, 0, 2 * time.Second},
-		{route.Repeatable, 300, 300 * time.Millisecond},
-		{route.NotRepeatable, 300, 300 * time.Millisecond},
+		{route.Repeatable, 300, 300*time.Millisecond - 2*callerDelay - answerMargin},
+		{route.NotRepeatable, 300, 300*time.Millisecond - 2*callerDelay - answerMargin},
+		{route.Repeatable, 20, 15 * time.Millisecond},
 		{route.NotRepeatable, 5000, 2 * time.Second},
 	}
 	for _, tt := range tests {
