--- a/gateway/customer_test.go
+++ b/gateway/customer_test.go
@@ -264,3 +264,25 @@
 		rg.checkStatus(ca.receive(rq), http.StatusUnauthorized)
 	})
 }
+
+// FuzzBearerKey looks for values of Authorization from which a key is taken that is not all
+// of the text after the scheme.
+func FuzzBearerKey(f *testing.F) {
+	f.Add("Bearer " + lindaKey)
+	f.Add("bEaReR   x")
+	f.Add("Bearer\tx")
+	f.Add("Bearer ")
+	f.Fuzz(func(t *testing.T, value string) {
+		key, ks := bearerKey([]string{value})
+		if ks != keyPresent {
+			if key != "" {
+				t.Fatalf("%v with a key", ks)
+			}
+			return
+		}
+		fields := strings.FieldsFunc(value, func(ru rune) bool { return ru == ' ' })
+		if len(fields) != 2 || !strings.EqualFold(fields[0], "bearer") || fields[1] != key || len(key) > maxKeyBytes || strings.ContainsAny(key, " \t\r\n\x00\x7f") {
+			t.Fatalf("key %q of %q", key, value)
+		}
+	})
+}
