gateway, balsamctl: name the customer in log lines, metrics and quarantine keys

Log lines, metrics and explain did not tell whose requests fail. Request lines have the field Customer and explain shows it. Requests are counted by customer: the 32 with the most by name, the others as one, and customers that a version removes no longer have a counter of their own. Requests without a valid key are counted by reason; their lines are limited to one a second, since anyone who reaches an instance causes them. The quarantine identifies a request by the customer's name in place of Authorization, so that all keys of a customer give the same content.

--- a/cmd/balsamctl/request.go
+++ b/cmd/balsamctl/request.go
@@ -100,6 +100,9 @@
 		{"sent", fmt.Sprintf("%s, of them %s hedges and %s retries; the retry budget denied %s", li.Text("Sent"), li.Text("Hedged"), li.Text("Retried"), li.Text("Denied"))},
 		{"missing parts", li.Text("Missing")},
 	}
+	if cu := li.Text("Customer"); cu != "" {
+		rows = append(rows, [2]string{"customer", cu})
+	}
 	if ac := li.Text("Active"); ac != "" {
 		rows = append(rows, [2]string{"then", fmt.Sprintf("%s requests in flight; the backend servers last changed %s ms before it arrived", ac, li.Text("NewsMillis"))})
 	}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamwinch.example/customer"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/route"
 )
@@ -48,7 +50,21 @@
 // answer. The backend servers run in another process, so that CPU time and allocations are
 // those of the gateway alone. They answer once all shards have been asked. The metrics are
 // per exchange with a backend server.
-func BenchmarkMerged(be *testing.B) {
+func BenchmarkMerged(be *testing.B) { benchMerged(be, nil, http.Header{}) }
+
+// BenchmarkMergedCustomers is BenchmarkMerged with 86 customers, whose keys the requests
+// carry.
+func BenchmarkMergedCustomers(be *testing.B) {
+	var cus []customer.Customer
+	for ix := range 86 {
+		cus = append(cus, customer.Customer{Name: fmt.Sprint("customer-", ix), Keys: []string{fmt.Sprintf("sk-%032d", ix)}})
+	}
+	ix, err := customer.New(cus)
+	qt.Assert(be, err, qt.IsNil)
+	benchMerged(be, ix, http.Header{"Authorization": {"Bearer " + cus[50].Keys[0]}})
+}
+
+func benchMerged(be *testing.B, ix *customer.Index, he http.Header) {
 	rg := newRig(be, loopback{}, setup{})
 	ro := route.Route{Prefix: "/", Timeout: 10 * time.Second, MaxAttempts: 1}
 	ro.Merge = route.Merge{TopK: 10, LeastShare: 1}
@@ -64,16 +80,17 @@
 		}
 	}
 	rg.setTable(ro)
+	rg.gw.SetTable(rg.gw.Table().WithCustomers(ix))
 	rg.gw.SetServers(ses)
 	for range 20 {
-		benchRequest(be, rg)
+		benchRequest(be, rg, he)
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	spent := processorTime(be)
 	be.ResetTimer()
 	for range be.N {
-		benchRequest(be, rg)
+		benchRequest(be, rg, he)
 	}
 	be.StopTimer()
 	spent = processorTime(be) - spent
@@ -86,7 +103,7 @@
 }
 
 // benchRequest lets the gateway answer one request, as net/http would.
-func benchRequest(be *testing.B, rg *rig) {
+func benchRequest(be *testing.B, rg *rig, he http.Header) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	rq := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/search/papers?text=balsam+winch&most=10", nil)
@@ -95,6 +112,7 @@
 		names.RequestID: {"q-8f14e45fceea167a"}, names.Deadline: {"900"}, "Accept": {"*/*"},
 		"Accept-Encoding": {"gzip, deflate"}, "User-Agent": {"loader/3.2"}, "X-Caller": {"c-17"},
 	}
+	maps.Copy(rq.Header, he)
 	wr := &benchWriter{hd: make(http.Header)}
 	rg.gw.ServeHTTP(wr, rq)
 	if wr.status != http.StatusOK || wr.hd.Get(names.MissingParts) != "0" {
--- a/gateway/customer.go
+++ b/gateway/customer.go
@@ -25,6 +25,7 @@
 	key, reason := bearerKey(ca.rq.Header[headerAuthorization])
 	if reason == keyPresent {
 		if ca.customer, _ = ix.ByKey(key); ca.customer != nil {
+			ca.sv.customers.count(ca.customer.Name)
 			return true
 		}
 		reason = keyUnknown
@@ -32,6 +33,7 @@
 	if ca.ro.Public {
 		return true
 	}
+	ca.sv.customers.unauthorized[reason].Inc()
 	ca.wr.Header().Set("WWW-Authenticate", "Bearer")
 	ca.respondError(http.StatusUnauthorized, result.NotRunUnauthorized, reason.String())
 	return false
@@ -46,6 +48,19 @@
 	}
 }
 
+// credentials returns what distinguishes the request from the same one of another caller for
+// the backend servers: the customer's name or, if the configuration has no customers,
+// Authorization.
+func (ca *call) credentials() string {
+	switch {
+	case ca.tb.Customers() == nil:
+		return ca.rq.Header.Get(headerAuthorization)
+	case ca.customer != nil:
+		return ca.customer.Name
+	}
+	return ""
+}
+
 // keyState tells what is wrong with the key of a request.
 type keyState uint8
 
@@ -59,7 +74,7 @@
 	numKeyStates
 )
 
-// String returns the state as it appears in answers, log lines and metrics.
+// String returns the state as it appears in answers and log lines.
 func (ks keyState) String() string {
 	switch ks {
 	case keyMissing:
@@ -77,6 +92,11 @@
 	}
 }
 
+// label returns the state as it appears in metrics.
+func (ks keyState) label() string {
+	return [numKeyStates]string{"valid", "missing", "malformed", "duplicated", "too-long", "unknown"}[ks]
+}
+
 // bearerKey returns the API key in the values of Authorization. There must be one value: the
 // word Bearer in any case, one or more spaces, and the key, which contains no spaces, tabs
 // and control characters.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	inFlight         atomic.Int64
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
 	metrics          serverMetrics
+	customers        customerMetrics
 	serversChangedAt atomic.Int64 // when the set of backend servers last changed, in nanoseconds since started
 
 	mu            sync.Mutex // guards the fields below
@@ -107,6 +108,7 @@
 	sv.view.Store(&serverView{})
 	sv.started = ts.Now()
 	sv.metrics.register(sv)
+	sv.customers.register(sv.metrics.set)
 	ts.Timeout(singleConnectionDuration, sv.divideConnections)
 	ts.Timeout(startupDuration, sv.divideConnections)
 	return sv
@@ -122,6 +124,7 @@
 	sv.updateExpected(tb)
 	sv.mu.Unlock()
 	sv.tb.Store(tb)
+	sv.customers.retain(tb.Customers())
 	sv.divideConnections()
 }
 
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -108,6 +108,9 @@
 	switch {
 	case ca.status == statusCallerLeft:
 		event = eventCallerLeft
+	case ca.code == result.NotRunUnauthorized:
+		ca.logUnauthorized(took)
+		return
 	case ca.status >= http.StatusInternalServerError:
 		event, level = eventFailed, zapcore.WarnLevel
 	case ca.code != result.Complete && ca.code != result.Partial:
@@ -141,6 +144,9 @@
 	ca := rl.ca
 	oe.AddString("RequestID", ca.id)
 	oe.AddString("Route", ca.routeName())
+	if ca.customer != nil {
+		oe.AddString("Customer", ca.customer.Name)
+	}
 	oe.AddUint64("Version", ca.version())
 	oe.AddInt("Status", ca.status)
 	oe.AddInt("Code", int(rl.code()))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -102,7 +102,10 @@
 }
 
 // WriteMetrics writes the metrics in the Prometheus text format.
-func (sv *Server) WriteMetrics(wr io.Writer) { sv.metrics.set.WritePrometheus(wr) }
+func (sv *Server) WriteMetrics(wr io.Writer) {
+	sv.metrics.set.WritePrometheus(wr)
+	sv.customers.write(wr)
+}
 
 // routeMetrics holds the series of one route.
 type routeMetrics struct {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -24,7 +24,7 @@
 	if ca.contentKey == (quarantine.Key{}) {
 		ca.contentKey = quarantine.Content{
 			Method: ca.rq.Method, Host: ca.rq.Host, URI: ca.rq.RequestURI,
-			Authorization: ca.rq.Header.Get("Authorization"), Body: ca.body,
+			Credentials: ca.credentials(), Body: ca.body,
 		}.Key()
 	}
 	return ca.contentKey
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -26,10 +26,10 @@
 // not part of it, since they differ when a caller sends the same request again.
 type Content struct {
 	Method, Host, URI string
-	// Authorization is the caller's credentials: the same path may mean something else for
-	// another caller.
-	Authorization string
-	Body          []byte
+	// Credentials tell whom the request is for, by a customer's name or the caller's
+	// Authorization: the same path may mean something else for another caller.
+	Credentials string
+	Body        []byte
 }
 
 // Key returns the key of the content.
@@ -42,7 +42,7 @@
 		_, _ = ha.Write(size[:])
 		_, _ = ha.Write(part)
 	}
-	for _, part := range [...]string{co.Method, co.Host, co.URI, co.Authorization} {
+	for _, part := range [...]string{co.Method, co.Host, co.URI, co.Credentials} {
 		add([]byte(part))
 	}
 	add(co.Body)
