peer: count a request's acknowledgement as a sign of life

Cause: watchSilence took its first count of received packets in its own goroutine. On a loaded machine this starts after the request was acknowledged; nothing more arrives while the handler is busy, and after 1 s the connection counted as silent although it worked.

Change: the count is taken before the request is written.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -67,7 +67,7 @@
 		st.CancelWrite(streamAbandoned)
 	})
 	defer stop()
-	unwatch := cn.watchSilence()
+	unwatch := cn.watchSilence(cn.packetsReceived())
 	defer unwatch()
 	if _, err := st.Write(request); err != nil {
 		return nil, cn.error(ctx, err)
@@ -88,19 +88,21 @@
 }
 
 // watchSilence closes the connection if it goes silent while a reply is awaited. It returns a
-// function that ends the watch.
+// function that ends the watch. last is the number of packets received before the request was
+// written: counted later, for example when the goroutine starts, it may include the request's
+// acknowledgement, and a connection whose handler is busy for longer than silenceTimeout would
+// count as silent.
 //
 // It guards against connections that something between the two ends has lost track of: all
 // packets are dropped while a new connection would work, and each message waits for its whole
 // deadline or is lost. QUIC acknowledges what it receives within milliseconds, even while the
 // handler is busy, so a connection that receives nothing at all for a while after a write is
 // given up.
-func (cn *conn) watchSilence() func() {
+func (cn *conn) watchSilence(last uint64) func() {
 	done := make(chan struct{})
 	go func() {
 		su := cn.pe.ts.Subscribe(silenceTimeout)
 		defer su.Stop()
-		last := cn.packetsReceived()
 		probed := true // the request itself is the first probe
 		for {
 			select {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -207,6 +207,31 @@
 	})
 }
 
+// On a loaded machine the watch of a connection starts after the request was acknowledged, and
+// nothing more arrives while the handler is busy. The acknowledgement must count: without it,
+// a Call that takes longer than silenceTimeout breaks a connection that works.
+func TestWatchCountsEarlyAcknowledgement(t *testing.T) {
+	runNetwork(t, func(c *qt.C, nw *network) {
+		pa := nw.start(nw.au, "a", addressA, nil)
+		nw.start(nw.au, "b", addressB, nil)
+		frame, err := pa.co.encode(note{"acknowledged"}, true)
+		c.Assert(err, qt.IsNil)
+		cn, _, er := pa.acquireLink(target{"b", addressB}).connection(bg)
+		c.Assert(er == nil, qt.IsTrue, qt.Commentf("%v", er))
+		before := cn.packetsReceived()
+		_, er = cn.exchange(bg, frame)
+		c.Assert(er == nil, qt.IsTrue, qt.Commentf("%v", er))
+		time.Sleep(silenceTimeout)
+		received := cn.packetsReceived()
+
+		unwatch := cn.watchSilence(before)
+		time.Sleep(silenceTimeout + silenceTimeout/2)
+		unwatch()
+		c.Assert(cn.packetsReceived(), qt.Equals, received)
+		c.Assert(cn.silent.Load(), qt.IsFalse)
+	})
+}
+
 // A Call that timed out may have used a connection that is silent in a way that QUIC cannot
 // detect. The next Call must not use it.
 func TestTimedOutCallRetiresConnection(t *testing.T) {
