peer: log each connection whose key is rejected

Besides, that test expected an order of two lines that two goroutines write at the same time.

Change: the context of each incoming connection is watched from its first packet and the refusal is logged when it ends. TestWrongKeysAreRejected awaits each line after its call; it checks the same lines and is stricter in that each must be there before the next connection.

--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -98,6 +98,22 @@
 }
 
 func (nw *network) startWith(au *keys.Authority, pa keys.Pair, name, address string, ha Handler) *host {
+	ho := nw.listen(au, pa, name, address, ha)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- ho.Serve(ctx) }()
+	ho.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; !ho.killed {
+			nw.c.Assert(err, qt.ErrorIs, context.Canceled)
+		}
+	})
+	nw.c.Cleanup(ho.stop)
+	return ho
+}
+
+// listen returns a peer that accepts no connections; its caller must run Serve or close.
+func (nw *network) listen(au *keys.Authority, pa keys.Pair, name, address string, ha Handler) *host {
 	if ha == nil {
 		ha = func(_ context.Context, _ string, ms Message) (Message, error) { return ms, nil }
 	}
@@ -109,18 +125,7 @@
 	pc := simnet.NewBlockingSimConn(ap, nw)
 	pe, err := newPeer(Config{Self: name, TLS: tc}, NewCodec([]Message{note{}}), ha, timer.New(), zap.New(core), pc)
 	nw.c.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- pe.Serve(ctx) }()
-	ho := &host{Peer: pe, nw: nw, logs: logs}
-	ho.stop = sync.OnceFunc(func() {
-		cancel()
-		if err := <-done; !ho.killed {
-			nw.c.Assert(err, qt.ErrorIs, context.Canceled)
-		}
-	})
-	nw.c.Cleanup(ho.stop)
-	return ho
+	return &host{Peer: pe, nw: nw, logs: logs}
 }
 
 // kill ends a peer without notifying the others, as kill -9 does.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -141,6 +141,7 @@
 		conns:          make(map[*quic.Conn]struct{}),
 	}
 	pe.ctx, pe.cancel = context.WithCancel(context.Background())
+	pe.tr.ConnContext = pe.watchRefusal
 	if pe.ln, err = pe.tr.ListenEarly(cf.TLS, pe.qc); err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", pc.LocalAddr(), err)
 	}
@@ -263,7 +264,6 @@
 	select {
 	case <-qc.HandshakeComplete():
 	case <-qc.Context().Done():
-		pe.logRefusal(qc)
 		return
 	}
 	from := keys.PeerName(qc.ConnectionState().TLS)
@@ -305,19 +305,6 @@
 	cr.sts = nil
 }
 
-// logRefusal logs a rejected connection. The rate is limited, so that a peer that retries does
-// not flood the log.
-func (pe *Peer) logRefusal(qc *quic.Conn) {
-	er := transportError(context.Background(), context.Cause(qc.Context()), Lost)
-	if er.Kind != BadKey {
-		return
-	}
-	pe.refusalLimiter.Do(func() {
-		pe.lg.Warn("connection rejected: missing or invalid key",
-			zap.String("address", qc.RemoteAddr().String()), zap.Error(er.Err))
-	})
-}
-
 // serveStream handles the messages of one stream in order.
 func (pe *Peer) serveStream(from string, st *quic.Stream) {
 	defer pe.inFlight.Done()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -119,8 +119,12 @@
 		// Peer a trusts b, but b does not trust the authority of a.
 		pa := nw.start(otherAuthority, "a", addressA, nil)
 		pa.cf.TLS.RootCAs = pb.cf.TLS.RootCAs
+		// Each line is awaited, as two connections that end at the same time are logged in any
+		// order.
 		_, err = pa.Call(bg, "b", addressB, note{"let me in"})
 		c.Assert(errorKind(c, err), qt.Equals, BadKey)
+		synctest.Wait()
+		c.Assert(pb.lines(), qt.HasLen, 1)
 		pa.cf.TLS.Certificates = nil
 		_, err = pa.Call(bg, "b", addressB, note{"let me in"})
 		c.Assert(errorKind(c, err), qt.Equals, BadKey)
@@ -141,6 +145,26 @@
 	})
 }
 
+// A connection is rejected before Accept has returned it, as may happen on a loaded machine. It
+// must be logged nevertheless, or nobody learns who tried.
+func TestRefusalBeforeAcceptIsLogged(t *testing.T) {
+	runNetwork(t, func(c *qt.C, nw *network) {
+		otherAuthority, err := keys.NewAuthority()
+		c.Assert(err, qt.IsNil)
+		key, err := nw.au.Issue(keys.Subject{Name: "b"})
+		c.Assert(err, qt.IsNil)
+		pb := nw.listen(nw.au, key, "b", addressB, nil)
+		defer pb.close()
+		pa := nw.start(otherAuthority, "a", addressA, nil)
+		pa.cf.TLS.RootCAs = pb.cf.TLS.RootCAs
+		_, err = pa.Call(bg, "b", addressB, note{"let me in"})
+		c.Assert(errorKind(c, err), qt.Equals, BadKey)
+		synctest.Wait()
+		c.Assert(pb.lines(), qt.HasLen, 1)
+		c.Assert(pb.lines()[0], qt.Matches, `connection rejected: missing or invalid key 10.0.0.1:7000 .*certificate for "a".*`)
+	})
+}
+
 // An instance is killed and restarted at the same address. The others still hold connections
 // that the new process does not know. Without stateless resets, what they send is lost until
 // the silence timeout.
