--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,85 @@
+// Package quota bounds the requests of each customer over all entry instances. The voters of
+// the replicated log own equal, fixed shares of each customer's quota (Owner) and grant
+// tokens from them; an entry instance spends a token for each request (Ledger). No two
+// owners hold the same share, so that the bound holds without messages between them, also
+// while the network is partitioned.
+//
+// The package is pure: the time is an argument, and messages are returned to the caller.
+// docs/design/two-customers.md derives the bound.
+package quota
+
+import "time"
+
+// Limits is the bound that the requests of a customer must stay within. In any Window it is
+// (rate x Window + burst) x (1 + Overage) + Slack.
+type Limits struct {
+	Window  time.Duration
+	Overage float64 // fraction of the quota
+	Slack   float64 // requests
+}
+
+// Shares of Overage x Window that the design uses. The sum must be below 1.
+const (
+	// ttlShare is used by tokens that were granted before a window and are spent in it.
+	ttlShare = 0.8
+	// reserveShare is used by refill that a bucket collects beyond the burst. Entry instances
+	// ask in batches, and a bucket of a high rate without a burst would be full between two
+	// of them.
+	reserveShare = 0.1
+)
+
+// maxTokenTTL bounds the validity of tokens. Longer ones save messages and are lost when the
+// callers of a customer move to other instances.
+const maxTokenTTL = 400 * time.Millisecond
+
+// TokenTTL returns for how long a token is valid after the request for it was sent.
+func (li Limits) TokenTTL() time.Duration {
+	return min(maxTokenTTL, time.Duration(ttlShare*li.Overage*float64(li.Window)))
+}
+
+// reserve returns the seconds of refill that a bucket holds beyond the burst.
+func (li Limits) reserve() float64 { return reserveShare * li.Overage * li.Window.Seconds() }
+
+// Want is what an entry instance asks of an owner for one customer.
+type Want struct {
+	Customer string `cbor:"1,keyasint"`
+	Count    uint32 `cbor:"2,keyasint,omitempty"` // tokens for requests that wait
+	// Ahead are further tokens for requests that are expected soon. They are granted only
+	// while the bucket is at least half full: a customer near its quota must not lose tokens
+	// that expire unused.
+	Ahead uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// Grant answers a Want.
+type Grant struct {
+	Count uint32 `cbor:"1,keyasint,omitempty"` // tokens
+	// RetryMillis is after how many milliseconds to ask again; 0 if Want.Count was granted.
+	RetryMillis uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// Refusal is why an owner grants nothing to anyone.
+type Refusal uint8
+
+// The reasons. None means that the owner grants.
+const (
+	None      Refusal = iota
+	NotVoting         // it does not vote, or not for JoinDelay yet
+	NoContact         // it has not heard from the leader, or from a majority, within ContactTimeout
+	Behind            // its configuration is older than the one that the request names
+)
+
+// String returns the reason in a few words.
+func (re Refusal) String() string {
+	switch re {
+	case None:
+		return "grants"
+	case NotVoting:
+		return "does not vote"
+	case NoContact:
+		return "has no contact with the leader"
+	case Behind:
+		return "has an older configuration"
+	default:
+		return "unknown reason"
+	}
+}
