fleet: expose whether an instance votes and when it last heard the leader

The owners of customers' quotas grant only while they vote and are in contact. A process suspended for 2 s may have been replaced as a voter, so messages that it finds in its links afterwards do not count as contact for JoinDelay.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,6 +114,7 @@
 	busySince atomic.Int64
 	createdAt time.Time
 	status    atomic.Pointer[Status]
+	standing  atomic.Pointer[Standing]
 	random    struct {
 		sync.Mutex
 		*rand.Rand
@@ -145,6 +146,7 @@
 	nd.newest.Store(&document{})
 	nd.evacuations.Store(&evacuation.Set{})
 	nd.report.Store(&Report{Start: nd.start, Name: cf.Name, Address: cf.Address})
+	nd.standing.Store(&Standing{})
 	nd.status.Store(&Status{Name: cf.Name, Role: roleStarting})
 	return nd
 }
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -60,6 +60,13 @@
 	// persistedRevision is the revision of the persisted evacuations.
 	persistedRevision uint64
 
+	// State of Standing.
+	leaderHeardAt time.Time // leaderHeardAt is when a message of the leader was processed; zero if none was.
+	votingSince   time.Time // votingSince is Standing.Since.
+	wasVoting     bool
+	standingKnown bool      // standingKnown is set once a log was in use.
+	lastWorkAt    time.Time // lastWorkAt is when the goroutine last began to work.
+
 	leading          leadership
 	pendingProposals []pendingProposal
 	pendingReads     []pendingRead
@@ -156,6 +163,7 @@
 // markBusy records since when the goroutine has been busy.
 func (th *thread) markBusy() {
 	th.nd.busySince.Store(max(1, int64(th.nd.ts.Now().Sub(th.nd.createdAt))))
+	th.noteSuspension()
 }
 
 // maxDrainedEvents bounds the queued events that are handled before the results are
@@ -260,6 +268,7 @@
 // publishReport sends the report of this instance to the others if it changed.
 func (th *thread) publishReport() {
 	th.nd.status.Store(th.status())
+	th.publishStanding()
 	re := th.currentReport()
 	was := th.nd.report.Load()
 	if re.equivalent(*was) {
--- a/fleet/voter.go
+++ b/fleet/voter.go
@@ -148,6 +148,7 @@
 		th.leading.lastHeard[ev.ms.From] = now
 	}
 	th.step(quorum.Received{Now: now, From: ev.ms.From, Message: ms})
+	th.noteContact(now, ev.ms.From)
 }
 
 // apply applies committed entries to the state machine.
