--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -76,7 +76,8 @@
 	st := Standing{voters: was.voters}
 	if vo := th.vo; vo != nil && vo.formed {
 		vs := vo.st.Voters()
-		st.Voting = vs.HasVoter(vo.id)
+		// The log of a voter that was replaced while it was down still lists it.
+		st.Voting = vs.HasVoter(vo.id) && vo.st.Role() != quorum.Outsider
 		st.LastContact = th.leaderHeardAt
 		if vo.st.Role() == quorum.Leader {
 			st.LastContact = vo.st.LastQuorumContact()
--- a/fleet/thread.go
+++ b/fleet/thread.go
@@ -267,8 +267,8 @@
 
 // publishReport sends the report of this instance to the others if it changed.
 func (th *thread) publishReport() {
-	th.nd.status.Store(th.status())
 	th.publishStanding()
+	th.nd.status.Store(th.status())
 	re := th.currentReport()
 	was := th.nd.report.Load()
 	if re.equivalent(*was) {
