feed: carry requests for tokens to the owners of quotas and grants back

Entry instances ask over the links that they keep to control instances. Both sides announce FeatureQuotas, and only an instance that announced it is asked, because an earlier release closes the link on an unknown kind. The link's goroutine handles grants: that of Serve may parse a configuration while requests wait.

--- a/feed/message.go
+++ b/feed/message.go
@@ -55,6 +55,9 @@
 	FeatureStalls                        // StallReport, Stalls
 )
 
+// supportedFeatures are the features of this release.
+const supportedFeatures = FeatureQuotas
+
 // Has reports whether all of the given features are included.
 func (fe Features) Has(other Features) bool { return fe&other == other }
 
@@ -220,5 +223,5 @@
 
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, StateReport{}, Fetch{}, Configuration{}, Snapshot{}, Update{}, Observations{}, Findings{}, Invite{}, LoadReport{}}
+	return []peer.Message{Subscribe{}, StateReport{}, Fetch{}, Configuration{}, Snapshot{}, Update{}, Observations{}, Findings{}, Invite{}, LoadReport{}, QuotaRequest{}, QuotaGrant{}}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -47,6 +47,9 @@
 	// Quarantine holds the requests suspected of crashing servers; nil means a new, empty
 	// one.
 	Quarantine *quarantine.Tracker
+	// GrantQuotas answers an entry instance's request for tokens. It is called concurrently
+	// and must not block. If it is nil, this instance owns no quotas.
+	GrantQuotas func(entry string, rq QuotaRequest) QuotaGrant
 }
 
 // Publisher sends changes to the entry instances that have a link to this control
@@ -217,6 +220,8 @@
 		case Observations:
 			pu.detector.add(pu.ts.Now(), sb.en.Name, me.Samples)
 			pu.AddSuspects(sb.en.Name, me.Suspects)
+		case QuotaRequest:
+			pu.answerQuotas(sb, me)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -271,6 +276,7 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
+		Features: supportedFeatures,
 	}
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -37,6 +37,7 @@
 	name           string
 	sameDataCentre bool        // the control instance is in the same data centre
 	connected      atomic.Bool // the link is up and the snapshot has arrived
+	features       Features    // what the control instance understands
 	lossLogged     bool        // the loss or absence of the link has been logged
 	lostAt         time.Time
 	members        []Member
@@ -150,6 +151,10 @@
 		if err != nil {
 			return err
 		}
+		if gr, ok := ms.(QuotaGrant); ok {
+			su.receiveQuotaGrant(so, gr)
+			continue
+		}
 		if !su.postEvent(ctx, event{so: so, ms: ms}) {
 			return ctx.Err()
 		}
@@ -164,6 +169,7 @@
 	en := su.cf.Self
 	err := co.Send(Subscribe{
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.version, FromControl: su.cf.OwnAddress != "",
+		Features: supportedFeatures,
 	})
 	if err == nil && su.cf.OwnAddress == "" {
 		err = co.Send(su.load)
@@ -233,12 +239,14 @@
 	su.lg.Info("control-link-up", fields...)
 	so.lossLogged = false
 	so.name, so.members, so.sharers = sn.Name, sn.Members, sn.Sharers
+	so.features = sn.Features
 	so.sameDataCentre = sn.DataCentre != "" && sn.DataCentre == su.cf.Self.DataCentre
 	so.entries = make(map[string]Entry, len(sn.Entries))
 	for _, en := range sn.Entries {
 		so.entries[en.Name] = en
 	}
 	su.entriesDirty = true
+	su.updateQuotaOwners()
 	so.version = 0
 	su.applyEvacuations(so, sn.Evacuations)
 	su.versionAnnounced(so, sn.Version)
@@ -279,6 +287,7 @@
 	if so.connected.Load() {
 		so.connected.Store(false)
 		su.numConnected.Add(-1)
+		su.updateQuotaOwners()
 		su.entriesDirty = true
 		su.un.Disconnect(su.ts.Now(), so.address)
 	}
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -13,6 +13,7 @@
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/quarantine"
+	"balsamwinch.example/quota"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
 )
@@ -76,6 +77,9 @@
 	// Suspects returns this instance's records of requests suspected of crashing servers,
 	// which are sent to a control instance whose link comes up; nil for none.
 	Suspects func() []quarantine.Record
+	// QuotaGranted handles the answers to SendQuotaRequest. It is called concurrently; nil
+	// ignores them.
+	QuotaGranted func(control string, gr QuotaGrant)
 }
 
 // Subscriber keeps an entry instance's links to all control instances. Its methods are
@@ -86,6 +90,7 @@
 	lg           *zap.Logger
 	ob           Observer
 	numConnected atomic.Int64
+	quotaOwners  atomic.Pointer[[]quota.OwnerRef]
 	wake         chan struct{}
 
 	mu      sync.Mutex
