gateway, tier: admit the requests of customers by their quota

After admission and before anything is sent, a request of a customer with a quota takes a token or is refused: 429 if the owners' buckets are empty, 503 if no owner grants anything. A request that no backend server can have run returns its token. Control instances answer from their shares as soon as a configuration is parsed. result: NotRunOverQuota (110).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,7 +7,9 @@
 	"strings"
 	"time"
 
+	"balsamwinch.example/customer"
 	"balsamwinch.example/quarantine"
+	"balsamwinch.example/quota"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 	"balsamwinch.example/scatter"
@@ -51,8 +53,11 @@
 	numRetries int
 	numDenied  int
 	contentKey quarantine.Key // zero until quarantineKey computes it
-	probe      bool           // backend servers ended during the same request before
-	ex         *executor      // nil if no backend server was asked
+	customer   *customer.Customer
+	token      time.Time         // expiry of the token of a customer with a quota; zero if there is none
+	owners     []quota.Statement // what the owners of the quota said to a refused request
+	probe      bool              // backend servers ended during the same request before
+	ex         *executor         // nil if no backend server was asked
 }
 
 // serve answers a request under the table that was in force when it arrived.
@@ -83,8 +88,12 @@
 	}
 	defer func() {
 		ca.sv.ad.Release(ca.sv.ts.Now(), services[0], ca.metOverload())
+		ca.returnToken()
 		ca.recycleReplies()
 	}()
+	if !ca.takeToken() {
+		return
+	}
 	if len(ro.Shards) > 0 {
 		ca.serveShards()
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// Warmup sets the burst factor and slack of requests to cold backend servers. Rate and
 	// duration come from the configuration of each service.
 	Warmup warmup.Limit
+	// Quotas admits the requests of customers with a quota; nil means that quotas are not
+	// enforced.
+	Quotas Quotas
 }
 
 // Server answers the requests of callers. It is safe for concurrent use.
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -161,6 +161,7 @@
 		oe.AddInt("BrokeOff", len(lost))
 		zap.Strings("Under", lost[:min(len(lost), maxListedServers)]).AddTo(oe)
 	}
+	ca.addQuotaFields(oe)
 	if ca.code == result.NotRunQuarantined {
 		oe.AddString("Content", ca.quarantineKey().String())
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -32,9 +32,12 @@
 // callers of a customer move to other instances.
 const maxTokenTTL = 400 * time.Millisecond
 
+// minTokenTTL is enough for a token to reach the entry instance that asked for it.
+const minTokenTTL = 50 * time.Millisecond
+
 // TokenTTL returns for how long a token is valid after the request for it was sent.
 func (li Limits) TokenTTL() time.Duration {
-	return min(maxTokenTTL, time.Duration(ttlShare*li.Overage*float64(li.Window)))
+	return min(maxTokenTTL, max(minTokenTTL, time.Duration(ttlShare*li.Overage*float64(li.Window))))
 }
 
 // reserve returns the seconds of refill that a bucket holds beyond the burst.
--- a/result/result.go
+++ b/result/result.go
@@ -44,6 +44,8 @@
 	// NotRunQuarantined means that backend servers crashed while running the same request, and
 	// none has ever answered it.
 	NotRunQuarantined Code = 109
+	// NotRunOverQuota means that the customer has used its quota.
+	NotRunOverQuota Code = 110
 )
 
 // Failures after a backend server may have started the request.
@@ -107,6 +109,7 @@
 	{NotRunKeyReused, "NotRunKeyReused", http.StatusConflict, "Refused: the key was used before with another request."},
 	{NotRunNoControl, "NotRunNoControl", http.StatusServiceUnavailable, "Refused: the intent of a not-repeatable request could not be recorded."},
 	{NotRunQuarantined, "NotRunQuarantined", http.StatusServiceUnavailable, "Refused: backend servers end when they run this request. Come back after Retry-After."},
+	{NotRunOverQuota, "NotRunOverQuota", http.StatusTooManyRequests, "Refused: the customer's quota is used up. Come back after Retry-After."},
 	{Incomplete, "Incomplete", http.StatusGatewayTimeout, "The service's policy demands every shard and some are missing; they are named."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, "A not-repeatable request may have run. It is not sent again under this key."},
 	{Failed, "Failed", http.StatusBadGateway, "Backend servers ran the request and reported failure."},
--- a/tier/control.go
+++ b/tier/control.go
@@ -47,10 +47,14 @@
 func runControl(ctx context.Context, se Settings, ls *liveSettings, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
 	co := &control{ls: ls, lu: newLookUps(ts, lg), lg: lg, ts: ts}
 	qa := quarantine.New()
+	// The node and the publisher are set before the first link is served.
+	qo := newQuotaOwner(se.Quota.limits(), func() fleet.Standing { return co.nd.Standing() }, func() []feed.Entry { return co.pu.ReadyEntries() }, ts, lg)
 	co.pu = feed.NewPublisher(feed.PublisherConfig{
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
+		GrantQuotas: qo.grant,
 	}, ts, lg)
 	co.ro = newRosters(di.NewParser(), co.pu, ts, lg)
+	co.ro.tableParsed = qo.setTable
 	ss := stateStore{dir: se.DataFolder, pu: co.pu, ps: &peerServers{mergeSuspects: co.pu.AddSuspects}, ro: co.ro, qa: qa, ts: ts, lg: lg}
 	ss.restore(se.Timing.Announcement)
 	co.nd = fleet.New(fleet.Config{
@@ -69,7 +73,7 @@
 	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(ia)); err != nil {
 		return err
 	}
-	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), ia.set.WritePrometheus)...)
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), ia.set.WritePrometheus, qo.mt.set.WritePrometheus)...)
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -51,6 +51,7 @@
 	ts      *timer.Service
 	lg      *zap.Logger
 	sr      *stateReporter
+	qc      *quotaClient
 
 	// servers and evacuations are the latest state from the subscriber. Only the
 	// subscriber's goroutine accesses them.
@@ -70,13 +71,14 @@
 	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
 		return err
 	}
-	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinkMetrics(en.su), en.gw.WriteMetrics)...)
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinkMetrics(en.su), en.gw.WriteMetrics, en.qc.mt.set.WritePrometheus)...)
 	sp.Add(service{"feed", en.su.Serve})
 	en.addInvitations(sp, se.LinkAddress(), lc)
 	sp.Add(service{"callers", en.callers.Serve})
 	sp.Add(service{"news", en.sendObservations})
 	sp.Add(service{"load", en.sendLoad})
 	sp.Add(service{"suspects", en.sendSuspects})
+	sp.Add(service{"quotas", en.qc.serve})
 	sp.Add(service{"house", func(ctx context.Context) error { return runHousekeeping(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.stop(se.Timing.StopWithin, ts) })
 	return nil
@@ -100,17 +102,20 @@
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano())})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Fraction: budgetFraction}, now)
 	qa := quarantine.New()
-	en := &entry{parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg}
+	en := &entry{parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg, qc: newQuotaClient(se.Quota.limits(), uint64(now.UnixNano()), ts, lg)}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.HeaderNames(), Name: se.Name, DataCentre: se.DataCentre,
 		CallerDelay: se.Timing.CallerDistance, PartialMargin: partialMargin, MaxInFlight: maxInFlight,
 		Warmup: warmup.Limit{BurstFactor: se.Warmup.Overage, Slack: se.Warmup.Slack},
+		Quotas: en.qc,
 	}, ts, lg, up, re, bu, qa)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: ls.linkSeeds, Link: lc, RetentionTimeout: serverRetentionTimeout,
-		Suspects: func() []quarantine.Record { return qa.Records(ts.Now()) },
+		Suspects:     func() []quarantine.Record { return qa.Records(ts.Now()) },
+		QuotaGranted: en.qc.granted,
 	}, ts, lg, en)
+	en.qc.su = en.su
 	en.sr = &stateReporter{report: en.su.SetState}
 	return en
 }
--- a/tier/roster.go
+++ b/tier/roster.go
@@ -32,6 +32,11 @@
 	lg     *zap.Logger
 	// entries returns the entry instances that are ready.
 	entries func() []feed.Entry
+	// tableParsed is called with each configuration that was parsed; nil for none.
+	tableParsed func(tb *route.Table)
+	// wake makes serve parse a new configuration at once: entry instances that have it may
+	// already ask for tokens under its quotas.
+	wake chan struct{}
 
 	mu      sync.Mutex
 	version uint64
@@ -49,7 +54,7 @@
 }
 
 func newRosters(parser ConfigurationParser, pu *feed.Publisher, ts *timer.Service, lg *zap.Logger) *rosters {
-	ro := &rosters{parser: parser, pu: pu, ts: ts, lg: lg, entries: pu.ReadyEntries}
+	ro := &rosters{parser: parser, pu: pu, ts: ts, lg: lg, entries: pu.ReadyEntries, wake: make(chan struct{}, 1)}
 	ro.latest.Store(&decision{})
 	return ro
 }
@@ -62,12 +67,16 @@
 // savedSizes returns the sizes to save for the next start.
 func (ro *rosters) savedSizes() []roster.SavedSize { return ro.latest.Load().chosen.SavedSizes() }
 
-// setDocument sets the configuration. It is parsed at the next update, because the commit
-// of the configuration waits for this call.
+// setDocument sets the configuration. It is parsed in serve, because the commit of the
+// configuration waits for this call.
 func (ro *rosters) setDocument(version uint64, data []byte) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	ro.version, ro.pending = version, data
+	select {
+	case ro.wake <- struct{}{}:
+	default:
+	}
 }
 
 // serve updates the subsets at each interval until the context ends.
@@ -80,6 +89,8 @@
 			return ctx.Err()
 		case <-su.C:
 			ro.update(ro.ts.Now())
+		case <-ro.wake:
+			ro.update(ro.ts.Now())
 		}
 	}
 }
@@ -89,6 +100,9 @@
 	if tb := ro.parsePending(); tb != nil {
 		de.tb, de.groups = tb, groupsOf(tb)
 		de.list = de.groups.list()
+		if ro.tableParsed != nil {
+			ro.tableParsed(tb)
+		}
 	}
 	if de.tb == nil {
 		return
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -34,6 +34,7 @@
 	Timing      Timing
 	Budget      Budget
 	Warmup      Warmup
+	Quota       Quota
 	Metrics     string // IP:port that serves metrics; empty for none
 }
 
@@ -83,6 +84,14 @@
 	Slack   float64
 }
 
+// Quota bounds the requests of a customer with a rate and a burst that are run within any
+// Window, at all entry instances together, to (rate x Window + burst) x (1 + Overage) + Slack.
+type Quota struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
 // Defaults returns the values of settings that a file may omit.
 func Defaults() Settings {
 	return Settings{
@@ -99,6 +108,7 @@
 		},
 		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Warmup: Warmup{Overage: 1},
+		Quota:  Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
 		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
@@ -143,6 +153,8 @@
 		return &fieldError{"Listen", "an address for Callers or for Control", "both"}
 	case se.Warmup.Overage < 1 || se.Warmup.Slack < 0:
 		return &fieldError{"Warmup", "an Overage of at least 1 and a Slack of at least 0", fmt.Sprint(se.Warmup.Overage, " and ", se.Warmup.Slack)}
+	case se.Quota.Window <= 0 || se.Quota.Overage < 0 || se.Quota.Slack < 0:
+		return &fieldError{"Quota", "a Window above 0 and an Overage and a Slack of at least 0", fmt.Sprint(se.Quota.Window, ", ", se.Quota.Overage, " and ", se.Quota.Slack)}
 	case se.Losses < 0:
 		return &fieldError{"Losses", "0 or more", fmt.Sprint(se.Losses)}
 	}
