--- a/tier/cluster_test.go
+++ b/tier/cluster_test.go
@@ -59,6 +59,7 @@
 type instance struct {
 	se   tier.Settings
 	lg   *zap.Logger
+	di   tier.Dialect
 	mws  []tier.MetricsWriter
 	stop context.CancelFunc
 	done chan error
@@ -91,7 +92,7 @@
 		se.FirstStart = true
 		se.Limits.MemoryMegabytes = 4096
 		se.Timing.Announcement, se.Timing.StopWithin = announceInterval, stopTimeout
-		in := &instance{se: se, lg: zap.NewNop()}
+		in := &instance{se: se, lg: zap.NewNop(), di: platform.Dialect{}}
 		if ix < controls {
 			in.se.Name = "control-" + ip
 			in.se.DataFolder = t.TempDir()
@@ -168,7 +169,7 @@
 func (cl *cluster) start(in *instance) {
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop, in.done = stop, make(chan error, 1)
-	go func() { in.done <- tier.Run(ctx, in.se, nil, platform.Dialect{}, in.lg, in.mws...) }()
+	go func() { in.done <- tier.Run(ctx, in.se, nil, in.di, in.lg, in.mws...) }()
 }
 
 // shutdown stops an instance and returns the result of Run.
