--- a/customer/index.go
+++ b/customer/index.go
@@ -74,9 +74,13 @@
 // Len returns the number of customers.
 func (ix *Index) Len() int { return ix.size }
 
-// All returns the customers in no particular order. They must not be modified.
+// All returns the customers in no particular order; none if ix is nil. They must not be
+// modified.
 func (ix *Index) All() iter.Seq[*Customer] {
 	return func(yield func(*Customer) bool) {
+		if ix == nil {
+			return
+		}
 		for _, byName := range ix.byName {
 			for _, cu := range byName {
 				if !yield(cu) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 
 	"balsamwinch.example/customer"
 	"balsamwinch.example/quarantine"
+	"balsamwinch.example/quota"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
 	"balsamwinch.example/scatter"
@@ -52,9 +53,11 @@
 	numHedges  int
 	numRetries int
 	numDenied  int
-	contentKey quarantine.Key // zero until quarantineKey computes it
-	probe      bool           // backend servers ended during the same request before
-	ex         *executor      // nil if no backend server was asked
+	contentKey quarantine.Key    // zero until quarantineKey computes it
+	token      time.Time         // expiry of the token of a customer with a quota; zero if there is none
+	owners     []quota.Statement // what the owners of the quota said to a refused request
+	probe      bool              // backend servers ended during the same request before
+	ex         *executor         // nil if no backend server was asked
 }
 
 // serve answers a request under the table that was in force when it arrived.
@@ -88,8 +91,12 @@
 	}
 	defer func() {
 		ca.sv.ad.Release(ca.sv.ts.Now(), services[0], ca.metOverload())
+		ca.returnToken()
 		ca.recycleReplies()
 	}()
+	if !ca.takeToken() {
+		return
+	}
 	if len(ro.Shards) > 0 {
 		ca.serveShards()
 		return
--- a/result/result.go
+++ b/result/result.go
@@ -47,6 +47,8 @@
 	// NotRunUnauthorized means that the request needs a customer's API key and carries none
 	// that is valid.
 	NotRunUnauthorized Code = 110
+	// NotRunOverQuota means that the customer has used its quota.
+	NotRunOverQuota Code = 111
 )
 
 // Failures after a backend server may have started the request.
@@ -111,6 +113,7 @@
 	{NotRunNoControl, "NotRunNoControl", http.StatusServiceUnavailable, "Refused: the intent of a not-repeatable request could not be recorded."},
 	{NotRunQuarantined, "NotRunQuarantined", http.StatusServiceUnavailable, "Refused: backend servers end when they run this request. Come back after Retry-After."},
 	{NotRunUnauthorized, "NotRunUnauthorized", http.StatusUnauthorized, "Refused: the request needs a customer's API key and carries none that is valid."},
+	{NotRunOverQuota, "NotRunOverQuota", http.StatusTooManyRequests, "Refused: the customer's quota is used up. Come back after Retry-After."},
 	{Incomplete, "Incomplete", http.StatusGatewayTimeout, "The service's policy demands every shard and some are missing; they are named."},
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, "A not-repeatable request may have run. It is not sent again under this key."},
 	{Failed, "Failed", http.StatusBadGateway, "Backend servers ran the request and reported failure."},
