emulate: add customers to the emulated dialect and test them over a whole tier

The emulated dialect had no customers, so no test went from the operator's configuration to the backend servers. Faults of the customers leave out the value found, which may be a key in the wrong place.

--- a/emulate/caller.go
+++ b/emulate/caller.go
@@ -24,6 +24,7 @@
 	Host    string
 	Path    string
 	Timeout time.Duration // how long the caller waits
+	Key     string        // API key of a customer; empty for none
 }
 
 // Response is the response that a caller received.
@@ -68,6 +69,9 @@
 	rq.Body = io.NopCloser(strings.NewReader(""))
 	rq.Header.Set(headerRequestID, req.ID)
 	rq.Header.Set(headerDeadline, strconv.FormatInt(req.Timeout.Milliseconds(), 10))
+	if req.Key != "" {
+		rq.Header.Set("Authorization", "Bearer "+req.Key)
+	}
 	rs, err := ca.hc.Do(rq)
 	if err != nil {
 		return Response{}, err
--- a/emulate/configuration.go
+++ b/emulate/configuration.go
@@ -15,6 +15,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers are those whose keys requests need; nil means that requests need no key,
+	// and an empty list that no key is valid.
+	Customers []Customer
 }
 
 // Route configures the requests for one host whose path begins with one prefix. Exactly
@@ -26,6 +29,8 @@
 	Kind        string // Repeatable or NotRepeatable; default NotRepeatable
 	Timeout     time.Duration
 	Aim         time.Duration
+	Priority    int  // 0 is the highest
+	Public      bool // requests need no key
 	MaxAttempts int
 	Service     string
 	Weights     map[string]int // share of the requests for each service
@@ -58,6 +63,8 @@
 		Routes   []map[string]any
 		Services []map[string]any
 		Limits   map[string]any
+		// Not written if it is nil; an empty list is.
+		Customers *[]Customer `json:",omitempty"`
 	}
 	doc := document{Version: cf.Version, Limits: map[string]any{
 		"HeaderBytes": cf.Limits.HeaderBytes, "BodyBytes": cf.Limits.BodyBytes,
@@ -69,6 +76,10 @@
 	for _, se := range cf.Services {
 		doc.Services = append(doc.Services, se.encode())
 	}
+	if cf.Customers != nil {
+		cus := encodable(cf.Customers)
+		doc.Customers = &cus
+	}
 	data, err := json.Marshal(doc)
 	if err != nil {
 		panic(err) // Numbers and strings can always be encoded, except for an infinite LeastShare.
@@ -86,7 +97,7 @@
 func (ro Route) encode() map[string]any {
 	out := map[string]any{
 		"Name": ro.Name, "Host": ro.Host, "Prefix": ro.Prefix, "Timeout": ro.Timeout.String(), "Aim": ro.Aim.String(),
-		"MaxAttempts": ro.MaxAttempts,
+		"MaxAttempts": ro.MaxAttempts, "Priority": ro.Priority, "Public": ro.Public,
 	}
 	if ro.Kind != "" {
 		out["Kind"] = ro.Kind
@@ -108,7 +119,7 @@
 func parseTable(data []byte) (*route.Table, error) {
 	var cf Configuration
 	if fs := settings.Decode("configuration", data, &cf); len(fs) > 0 {
-		return nil, fs
+		return nil, withoutKeys(fs)
 	}
 	ros := make([]route.Route, 0, len(cf.Routes))
 	for _, ro := range cf.Routes {
@@ -122,13 +133,21 @@
 	for _, se := range cf.Services {
 		ses = append(ses, route.Service{Name: se.Name, HealthPath: se.HealthPath, MaxConnections: se.Connections, Warmup: se.Warmup, WarmupRate: se.WarmupRate})
 	}
-	return route.New(cf.Version, ros, ses, route.Limits(cf.Limits))
+	tb, err := route.New(cf.Version, ros, ses, route.Limits(cf.Limits))
+	if err != nil {
+		return nil, err
+	}
+	ix, err := newCustomers(cf.Customers)
+	if err != nil {
+		return nil, err
+	}
+	return tb.WithCustomers(ix), nil
 }
 
 func (ro Route) route() (route.Route, error) {
 	out := route.Route{
 		Name: ro.Name, Host: ro.Host, Prefix: ro.Prefix, Timeout: ro.Timeout, TargetLatency: ro.Aim,
-		MaxAttempts: ro.MaxAttempts, Shards: ro.Shards,
+		MaxAttempts: ro.MaxAttempts, Shards: ro.Shards, Priority: ro.Priority, Public: ro.Public,
 	}
 	switch ro.Kind {
 	case route.Repeatable.String():
--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -21,6 +21,7 @@
 	headerServerID     = "Server-Id"
 	headerPartStamps   = "Part-Stamps"
 	headerMissingParts = "Missing-Parts"
+	headerCustomer     = "Customer"
 )
 
 // Dialect is the HTTP dialect of the project itself. Operators call PUT and GET
@@ -37,6 +38,7 @@
 		RequestID: headerRequestID, Deadline: headerDeadline, ExpectServer: headerExpectServer,
 		Stamp: headerStamp, NotRun: headerNotRun, ServerLoad: headerServerLoad,
 		ServerID: headerServerID, PartStamps: headerPartStamps, MissingParts: headerMissingParts,
+		Customer: headerCustomer,
 	}
 }
 
