balsamwinch, examples: show a customer and its key

The demo of the routed tier and the examples had no customers.

go test -race ./cmd/balsamwinch -run RoutedDemo, ./examples: ok.

--- a/cmd/balsamwinch/demo_routed.go
+++ b/cmd/balsamwinch/demo_routed.go
@@ -22,6 +22,8 @@
 	routedTopK        = 5
 	routedHost        = "archivo.example"
 	routedPath        = "/search/curtains"
+	routedCustomer    = "museo"
+	routedKey         = "demo-key"
 	routedTimeout     = time.Second
 	routedStopTimeout = 2 * time.Second
 )
@@ -82,7 +84,8 @@
 			Name: "search", Host: routedHost, Prefix: "/search/", Kind: "Repeatable", Timeout: routedTimeout, Aim: 200 * time.Millisecond,
 			MaxAttempts: 3, Shards: demoShardNames[:], TopK: routedTopK, LeastShare: 0.5,
 		}},
-		Limits: emulate.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second},
+		Limits:    emulate.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second},
+		Customers: []emulate.Customer{{Name: routedCustomer, Keys: []string{routedKey}}},
 	}
 	for _, sh := range demoShardNames {
 		cf.Services = append(cf.Services, emulate.Service{Name: sh, HealthPath: emulate.HealthPath, Connections: 110})
@@ -97,7 +100,7 @@
 	defer ca.Close()
 	address := lo.CallerAddresses()[0]
 	res, err := ca.AwaitComplete(readyCtx, ts, address,
-		emulate.Request{ID: "demo", Host: routedHost, Path: routedPath, Timeout: routedTimeout},
+		emulate.Request{ID: "demo", Host: routedHost, Path: routedPath, Timeout: routedTimeout, Key: routedKey},
 		emulate.Expectation{Services: demoShardNames[:], Service: ss.Service, Records: routedRecords, TopK: routedTopK})
 	if err != nil {
 		return err
@@ -107,7 +110,9 @@
 	}
 	fmt.Fprintf(out, "The routed tier serves: %d entry instances, %d control instances, %d backend servers.\n", routedEntries, routedControls, len(ss.All()))
 	fmt.Fprintf(out, "Ask which entry instances to use:\n  curl 'http://%s/addresses?DataCentre=miraflores'\n", lo.LookupAddresses()[0])
-	fmt.Fprintf(out, "Send a query:\n  curl -i -H 'Host: %s' -H 'Request-Id: 1' http://%s%s --output -\n", routedHost, address, routedPath)
+	fmt.Fprintf(out, "Send a query with the key of a customer, and one without, which is answered with 401:\n")
+	query := fmt.Sprintf("curl -i -H 'Host: %s' -H 'Request-Id: 1' http://%s%s", routedHost, address, routedPath)
+	fmt.Fprintf(out, "  %s -H 'Authorization: Bearer %s' --output -\n  %s\n", query, routedKey, query)
 	fmt.Fprintf(out, "See the configuration:\n  curl http://%s/configuration\n", lo.ControlAddresses()[0])
 	fmt.Fprintln(out, "Press Ctrl-C to stop.")
 	<-ctx.Done()
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,12 +3,14 @@
 package examples_test
 
 import (
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamwinch.example/emulate"
 	"balsamwinch.example/operator"
 	"balsamwinch.example/settings"
 )
@@ -92,3 +94,19 @@
 		})
 	}
 }
+
+// The example with customers must be accepted, require keys and have a public route.
+func TestCustomersExample(t *testing.T) {
+	c := qt.New(t)
+	data, err := os.ReadFile(filepath.Join("customers", "configuration.yaml"))
+	c.Assert(err, qt.IsNil)
+	tb, err := emulate.Dialect{}.Parse(data)
+	c.Assert(err, qt.IsNil)
+	cu, ok := tb.Customers().ByKey("replace-museo-key-1")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(cu.Name, qt.Equals, "museo")
+	c.Assert(cu.Quota.Bounded(), qt.IsTrue)
+	ro, ok := tb.Match("archivo.example", "/hours/today")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(ro.Public, qt.IsTrue)
+}
