--- a/gateway/customermetrics.go
+++ b/gateway/customermetrics.go
@@ -85,9 +85,6 @@
 		return true
 	})
 	others := cm.removed.Load()
-	if len(ccs) == 0 && others == 0 {
-		return
-	}
 	slices.SortFunc(ccs, func(a, b customerCount) int {
 		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.name, b.name))
 	})
@@ -106,9 +103,7 @@
 			others += cc.count
 		}
 	}
-	if others > 0 {
-		add(otherLabel, others)
-	}
+	add(otherLabel, others)
 	for _, label := range labels {
 		_, _ = fmt.Fprintf(wr, "balsamwinch_customer_requests_total{customer=\"%s\"} %d\n", label, byLabel[label])
 	}
