--- a/emulate/configuration.go
+++ b/emulate/configuration.go
@@ -97,7 +97,13 @@
 func (ro Route) encode() map[string]any {
 	out := map[string]any{
 		"Name": ro.Name, "Host": ro.Host, "Prefix": ro.Prefix, "Timeout": ro.Timeout.String(), "Aim": ro.Aim.String(),
-		"MaxAttempts": ro.MaxAttempts, "Priority": ro.Priority, "Public": ro.Public,
+		"MaxAttempts": ro.MaxAttempts,
+	}
+	if ro.Priority != 0 {
+		out["Priority"] = ro.Priority
+	}
+	if ro.Public {
+		out["Public"] = true
 	}
 	if ro.Kind != "" {
 		out["Kind"] = ro.Kind
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -65,6 +65,44 @@
 	}
 }
 
+// With customers, the caller's key and customer name must not reach the server under any
+// spelling of their names, and the name that is set must. Without customers both headers
+// are the caller's own.
+func TestHeadOfCustomerRequest(t *testing.T) {
+	sent := http.Header{
+		"Authorization": {"k1", "k2"}, "authorization": {"k3"}, "Customer-Name": {"n1"}, "customer_name": {"n2"}, "CUSTOMER-NAME": {"n3"},
+		"Customer-Names": {"kept"}, "X-Authorization": {"kept"},
+	}
+	const kept = "|Customer-Names: kept|Host: h|X-Authorization: kept||"
+	na := testNames
+	na.Customer = "Customer-Name"
+	for _, tc := range []struct {
+		name string
+		rq   Request
+		want string
+	}{
+		{"customer", Request{HasCustomers: true, Customer: "linda"}, "GET / HTTP/1.1|Customer-Name: linda" + kept},
+		{"no customer", Request{HasCustomers: true}, "GET / HTTP/1.1" + kept},
+		{"listed as hop-by-hop", Request{HasCustomers: true, Customer: "linda", Header: http.Header{"Connection": {"Customer-Name"}}}, "GET / HTTP/1.1|Customer-Name: linda|Host: h||"},
+		{"without customers", Request{Customer: "linda", Header: http.Header{"Authorization": {"k1"}, "Customer-Name": {"n1"}}}, "GET / HTTP/1.1|Authorization: k1|Customer-Name: n1|Host: h||"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rq := tc.rq
+			rq.Method, rq.URI, rq.Host = "GET", "/", "h"
+			if rq.Header == nil {
+				rq.Header = sent
+			}
+			bs, ok := appendHead(nil, &rq, &na)
+			qt.Assert(t, ok, qt.IsTrue)
+			ls := strings.Split(string(bs)+"\r\n", "\r\n")
+			sort.Strings(ls[1 : len(ls)-2])
+			qt.Assert(t, strings.Join(ls, "|"), qt.Equals, tc.want)
+		})
+	}
+	_, ok := appendHead(nil, &Request{Method: "GET", URI: "/", Host: "h", HasCustomers: true, Customer: "a\r\nb: c"}, &na)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 // Guards against request smuggling: a line break in any part of a request would let a
 // caller hide a second request in it. The server would run that one, though it was never
 // checked here, and its reply would go to another caller.
