--- a/quota/account.go
+++ b/quota/account.go
@@ -96,16 +96,13 @@
 	return sum
 }
 
-// aheadShare is the part of the demand within the validity of a token that is asked for
-// ahead. The rest allows for requests that come unevenly.
-const aheadShare = 0.75
-
-// ahead returns how many tokens to ask for ahead.
+// ahead returns how many tokens to ask for ahead: those that will be spent before they
+// expire. Half of a token is rounded up, because the owner grants only what it can spare.
 func (ac *account) ahead(now time.Time, ttl time.Duration) int {
 	if now.Before(ac.noAhead) || ac.aheadAsked {
 		return 0
 	}
-	target := int(aheadShare * ac.demand.rate(now) * ttl.Seconds())
+	target := int(ac.demand.rate(now)*ttl.Seconds() + 0.5)
 	if have := ac.tokens(); 2*have <= target {
 		return target - have
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -10,7 +9,7 @@
 const (
 	// batchDelay is how long a request for tokens waits for other customers and requests to
 	// share its message.
-	batchDelay = 2 * time.Millisecond
+	batchDelay = 4 * time.Millisecond
 	// answerTimeout is after how long without an answer the next owner is asked. An answer
 	// takes about a millisecond.
 	answerTimeout = 20 * time.Millisecond
@@ -241,9 +240,8 @@
 func (le *Ledger) account(name string) *account {
 	ac := le.accounts[name]
 	if ac == nil {
-		hs := fnv.New64a()
-		_, _ = hs.Write([]byte(name))
-		ac = &account{name: name, turn: hs.Sum64() ^ le.seed, emptyUntil: make(map[string]time.Time)}
+		// All customers begin with the same owner, so that they share its messages.
+		ac = &account{name: name, turn: le.seed, emptyUntil: make(map[string]time.Time)}
 		le.accounts[name] = ac
 	}
 	return ac
