--- a/cmd/balsamctl/request.go
+++ b/cmd/balsamctl/request.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -100,12 +101,25 @@
 		{"sent", fmt.Sprintf("%s, of them %s hedges and %s retries; the retry budget denied %s", li.Text("Sent"), li.Text("Hedged"), li.Text("Retried"), li.Text("Denied"))},
 		{"missing parts", li.Text("Missing")},
 	}
+	if ow := quotaOwnersOf(li); ow != "" {
+		rows = append(rows, [2]string{"customer", li.Text("Customer")}, [2]string{"quota owners", ow})
+	}
 	if ac := li.Text("Active"); ac != "" {
 		rows = append(rows, [2]string{"then", fmt.Sprintf("%s requests in flight; the backend servers last changed %s ms before it arrived", ac, li.Text("NewsMillis"))})
 	}
 	printPairs(wr, rows)
 }
 
+// quotaOwnersOf returns what the owners of a customer's quota said to a request that was
+// refused for it, or "" for any other request.
+func quotaOwnersOf(li trail.Line) string {
+	var said []string
+	if json.Unmarshal(li.Value("QuotaOwners"), &said) != nil {
+		return ""
+	}
+	return strings.Join(said, "; ")
+}
+
 // statusCallerLeft is the status in the log line of a request whose caller closed the
 // connection before the answer.
 const statusCallerLeft = 499
--- a/tier/quotameters.go
+++ b/tier/quotameters.go
@@ -27,10 +27,26 @@
 	labels map[string]string // by name
 }
 
-func newCustomerCounters(set *vm.Set) *customerCounters {
+// newCustomerCounters returns counters that expose a series of otherCustomers for each prefix
+// from the start.
+func newCustomerCounters(set *vm.Set, prefixes ...string) *customerCounters {
+	for _, prefix := range prefixes {
+		set.NewCounter(prefix + `customer="` + otherCustomers + `"}`)
+	}
 	return &customerCounters{set: set, labels: make(map[string]string)}
 }
 
+// Prefixes of the series by customer.
+const (
+	tokensGranted = "balsamwinch_quota_tokens_granted_total{"
+	tokensSpent   = "balsamwinch_quota_tokens_spent_total{"
+)
+
+// refusals returns the prefix of the series of refusals.
+func refusals(ou quota.Outcome) string {
+	return `balsamwinch_quota_refusals_total{outcome="` + ou.String() + `",`
+}
+
 // add adds to the counter of a customer. The prefix is the name of the metric with an opening
 // brace and its other labels.
 func (cc *customerCounters) add(prefix, customer string, count int) {
@@ -69,7 +85,7 @@
 func newOwnerMetrics() *ownerMetrics {
 	set := vm.NewSet()
 	return &ownerMetrics{
-		set: set, cc: newCustomerCounters(set),
+		set: set, cc: newCustomerCounters(set, tokensGranted),
 		requests: set.NewCounter("balsamwinch_quota_requests_received_total"),
 		grants:   set.NewCounter("balsamwinch_quota_grants_sent_total"),
 	}
@@ -83,7 +99,7 @@
 		om.grants.Inc()
 	}
 	for ix, gr := range grants {
-		om.cc.add("balsamwinch_quota_tokens_granted_total{", rq.Wants[ix].Customer, int(gr.Count))
+		om.cc.add(tokensGranted, rq.Wants[ix].Customer, int(gr.Count))
 	}
 }
 
@@ -98,7 +114,7 @@
 func newClientMetrics() *clientMetrics {
 	set := vm.NewSet()
 	return &clientMetrics{
-		set: set, cc: newCustomerCounters(set),
+		set: set, cc: newCustomerCounters(set, tokensSpent, refusals(quota.OverQuota), refusals(quota.NoOwner)),
 		requests: set.NewCounter("balsamwinch_quota_requests_sent_total"),
 		grants:   set.NewCounter("balsamwinch_quota_grants_received_total"),
 	}
@@ -107,8 +123,8 @@
 // count counts a verdict.
 func (cm *clientMetrics) count(customer string, vd quota.Verdict) {
 	if vd.Outcome == quota.Admitted {
-		cm.cc.add("balsamwinch_quota_tokens_spent_total{", customer, 1)
+		cm.cc.add(tokensSpent, customer, 1)
 		return
 	}
-	cm.cc.add(`balsamwinch_quota_refusals_total{outcome="`+vd.Outcome.String()+`",`, customer, 1)
+	cm.cc.add(refusals(vd.Outcome), customer, 1)
 }
