--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -10,6 +10,8 @@
 	// batchDelay is how long a request for tokens waits for other customers and requests to
 	// share its message.
 	batchDelay = 4 * time.Millisecond
+	// aheadDelay is the same for a request for tokens ahead only.
+	aheadDelay = 50 * time.Millisecond
 	// answerTimeout is after how long without an answer the next owner is asked. An answer
 	// takes about a millisecond.
 	answerTimeout = 20 * time.Millisecond
@@ -116,7 +118,7 @@
 	if len(ac.waiting) == 0 {
 		if expires, ok := ac.spend(now); ok {
 			if ac.asked == 0 && ac.ahead(now, le.ttl) > 0 {
-				le.enqueue(now, ac)
+				le.enqueue(now, ac, aheadDelay)
 			}
 			return Verdict{Outcome: Admitted, Expires: expires}, 0
 		}
@@ -127,7 +129,7 @@
 	le.nextID++
 	ac.waiting = append(ac.waiting, waiter{ticket: le.nextID, since: now})
 	le.tickets[le.nextID] = ac
-	le.enqueue(now, ac)
+	le.enqueue(now, ac, batchDelay)
 	return Verdict{}, le.nextID
 }
 
@@ -139,7 +141,7 @@
 	ac := le.account(name)
 	ac.add(lot{count: 1, expires: expires})
 	if len(ac.waiting) > 0 {
-		le.enqueue(now, ac)
+		le.enqueue(now, ac, batchDelay)
 	}
 }
 
@@ -222,8 +224,7 @@
 		}
 		le.settle(now, ac)
 		if len(ac.waiting) > ac.asked {
-			le.enqueue(now, ac)
-			le.flushBy(now) // The requests have waited for batchDelay already.
+			le.enqueue(now, ac, 0) // The requests have waited for batchDelay already.
 		}
 	}
 }
@@ -249,13 +250,13 @@
 
 func (ac *account) setEmpty(address string, until time.Time) { ac.emptyUntil[address] = until }
 
-// enqueue makes a Step look at an account, after batchDelay at the latest.
-func (le *Ledger) enqueue(now time.Time, ac *account) {
+// enqueue makes a Step look at an account, after a delay at the latest.
+func (le *Ledger) enqueue(now time.Time, ac *account, delay time.Duration) {
 	if !ac.queued {
 		ac.queued = true
 		le.queue = append(le.queue, ac)
 	}
-	le.flushBy(now.Add(batchDelay))
+	le.flushBy(now.Add(delay))
 }
 
 func (le *Ledger) flushBy(at time.Time) {
@@ -302,8 +303,7 @@
 			it.ac.aheadAsked = false
 		}
 		if len(it.ac.waiting) > 0 {
-			le.enqueue(now, it.ac)
-			le.flushBy(now)
+			le.enqueue(now, it.ac, 0)
 		}
 	}
 }
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -63,7 +63,7 @@
 		return // Its answer or its timeout decides.
 	}
 	if le.anyBehind() && now.Sub(ac.waiting[0].since) < maxWait {
-		le.enqueue(now, ac)
+		le.enqueue(now, ac, batchDelay)
 		return
 	}
 	vd := le.refuse(now, ac)
