--- a/cmd/balsamctl/request.go
+++ b/cmd/balsamctl/request.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -103,12 +104,25 @@
 	if cu := li.Text("Customer"); cu != "" {
 		rows = append(rows, [2]string{"customer", cu})
 	}
+	if ow := quotaOwnersOf(li); ow != "" {
+		rows = append(rows, [2]string{"quota owners", ow})
+	}
 	if ac := li.Text("Active"); ac != "" {
 		rows = append(rows, [2]string{"then", fmt.Sprintf("%s requests in flight; the backend servers last changed %s ms before it arrived", ac, li.Text("NewsMillis"))})
 	}
 	printPairs(wr, rows)
 }
 
+// quotaOwnersOf returns what the owners of a customer's quota said to a request that was
+// refused for it, or "" for any other request.
+func quotaOwnersOf(li trail.Line) string {
+	var said []string
+	if json.Unmarshal(li.Value("QuotaOwners"), &said) != nil {
+		return ""
+	}
+	return strings.Join(said, "; ")
+}
+
 // statusCallerLeft is the status in the log line of a request whose caller closed the
 // connection before the answer.
 const statusCallerLeft = 499
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -64,13 +64,11 @@
 	}
 }
 
-// addQuotaFields adds the customer of a request that was refused for its quota, and what
-// the owners of the quota said.
+// addQuotaFields adds what the owners of the quota said to a request that was refused for it.
 func (ca *call) addQuotaFields(oe zapcore.ObjectEncoder) {
 	if len(ca.owners) == 0 {
 		return
 	}
-	oe.AddString("Customer", ca.customer.Name)
 	said := make([]string, len(ca.owners))
 	for ix, st := range ca.owners {
 		said[ix] = st.String()
