--- a/quota/scenario_test.go
+++ b/quota/scenario_test.go
@@ -59,6 +59,15 @@
 				mo.entries = append(mo.entries, &modelEntry{le: NewLedger(testLimits, mo.random.Uint64()), calls: make(map[uint64]*modelCall)})
 			}
 		}},
+		{name: "owners learn a version late", least: 0.98, fewest: 0.95, fail: func(mo *model) {
+			quotas := mo.quotas
+			mo.version++
+			mo.after(80*time.Millisecond, func() {
+				for _, ow := range mo.owners {
+					ow.ow.SetQuotas(mo.now, mo.version, quotas)
+				}
+			})
+		}},
 		{name: "customer renamed", least: 0.99, fewest: 0.97, fail: func(mo *model) {
 			mo.setQuotas(map[string]customer.Quota{"steady": steady, "greedy": greedy, "renamed": greedy})
 		}},
