stall, feed, replica, gateway: entry instances tell each other of stalled backend servers

Backend servers pause for 120 to 200 ms every few seconds. An entry instance sends one of them 1.4 requests a second and notices a pause only by its own overdue request, while four to seven requests of all instances meet it.

An entry instance reports a request that is in flight longer than its work explains (8 ms and 2.5 times the expected latency) to the two control instances that also get its samples, and its end. They tell all entry instances, batched over 3 ms or more. Meanwhile other replicas are chosen, and requests in flight to the server are hedged at once. News that are late are dropped: messages carry the age of the control instance, which shows their delay. The messages go only to instances that announced FeatureStalls.

In force with a route over 20 or more shards and 16 or more entry instances, setting Stalls.Shared. Otherwise nothing changes: TestStallsAreSharedInLargeTiersOnly, TestStallsThatAreNotSharedChangeNothing.

--- a/feed/cluster_test.go
+++ b/feed/cluster_test.go
@@ -48,6 +48,8 @@
 	latency     time.Duration     // delay of each message
 	dataCentres map[string]string // data centres of control instances by name
 
+	sharedStalls bool // control instances that start share stalls
+
 	mu       sync.Mutex
 	controls map[string]*control // by address
 	links    []*pipeLink
@@ -206,7 +208,7 @@
 func (co *control) start() {
 	cl := co.cl
 	ctx, cancel := context.WithCancel(cl.ctx)
-	pu := NewPublisher(PublisherConfig{Name: co.member.Name, DataCentre: cl.dataCentres[co.member.Name], SilenceTimeout: testSilenceTimeout}, cl.ts, cl.lg)
+	pu := NewPublisher(PublisherConfig{Name: co.member.Name, DataCentre: cl.dataCentres[co.member.Name], SilenceTimeout: testSilenceTimeout, SharedStalls: cl.sharedStalls}, cl.ts, cl.lg)
 	cl.mu.Lock()
 	co.pu, co.stop, co.unreachable, co.stalled = pu, cancel, false, false
 	cl.mu.Unlock()
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -47,6 +47,8 @@
 	// Quarantine holds the requests suspected of crashing servers; nil means a new, empty
 	// one.
 	Quarantine *quarantine.Tracker
+	// SharedStalls is set if stalls of backend servers are evaluated and published.
+	SharedStalls bool
 }
 
 // Publisher sends changes to the entry instances that have a link to this control
@@ -79,6 +81,7 @@
 	configurations configurationStore
 	detector       lockedDetector
 	qa             *quarantine.Tracker
+	stalls         *stallShare // nil if stalls are not shared
 }
 
 // subscriber is one link of an entry instance or of another control instance.
@@ -87,6 +90,7 @@
 	en          Entry
 	joinNumber  uint64
 	fromControl bool // the subscriber is a control instance
+	features    Features
 }
 
 // encodedSnapshot is an encoded snapshot and the time at which it was made.
@@ -125,6 +129,9 @@
 	if pu.qa == nil {
 		pu.qa = quarantine.New()
 	}
+	if cf.SharedStalls {
+		pu.stalls = newStallShare(ts.Now(), lg)
+	}
 	pu.readyEntries.Store(&[]Entry{})
 	return pu
 }
@@ -152,6 +159,7 @@
 			pu.expireServers(pu.ts.Now())
 		case <-outlierTick.C:
 			pu.publishFindings(pu.ts.Now())
+			pu.updateStalls(pu.ts.Now())
 		}
 	}
 }
@@ -217,6 +225,8 @@
 		case Observations:
 			pu.detector.add(pu.ts.Now(), sb.en.Name, me.Samples)
 			pu.AddSuspects(sb.en.Name, me.Suspects)
+		case StallReport:
+			pu.addStalls(sb, me)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -230,7 +240,7 @@
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	pu.numJoined++
-	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, en: Entry{
+	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, features: first.Features, en: Entry{
 		Name: first.Name, DataCentre: first.DataCentre, Address: first.Address, State: first.State,
 	}}
 	pu.subscribers[sb] = struct{}{}
@@ -271,6 +281,7 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
+		Features: pu.stallFeature(),
 	}
 }
 
@@ -319,8 +330,16 @@
 
 // broadcast sends a message to all subscribers. It is encoded once.
 func (pu *Publisher) broadcast(ms peer.Message) {
+	pu.broadcastTo(ms, func(*subscriber) bool { return true })
+}
+
+// broadcastTo sends a message to the subscribers for which the condition holds.
+func (pu *Publisher) broadcastTo(ms peer.Message, condition func(*subscriber) bool) {
 	var pa *link.PreparedMessage
 	for sb := range pu.subscribers {
+		if !condition(sb) {
+			continue
+		}
 		if pa == nil {
 			packed, err := sb.co.Prepare(ms)
 			if err != nil {
--- a/feed/source.go
+++ b/feed/source.go
@@ -44,6 +44,7 @@
 	sharers        int    // number of entry instances that it says share backend servers
 	version        uint64 // newest configuration that it announced
 	announceOrder  uint64 // lower the earlier it announced that version
+	stalls         stallSource
 	// unlistedSince is when seeds and members stopped listing it; zero if they list it.
 	unlistedSince time.Time
 }
@@ -164,6 +165,7 @@
 	en := su.cf.Self
 	err := co.Send(Subscribe{
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.version, FromControl: su.cf.OwnAddress != "",
+		Features: su.stallFeature(),
 	})
 	if err == nil && su.cf.OwnAddress == "" {
 		err = co.Send(su.load)
@@ -212,6 +214,8 @@
 		su.receiveConfiguration(so, me)
 	case Findings:
 		su.receiveFindings(so, me.Findings)
+	case Stalls:
+		su.receiveStalls(so, me)
 	default:
 		su.lg.Warn("message-not-expected", zap.String("Address", so.address), zap.Uint16("Kind", uint16(me.Kind())))
 	}
@@ -233,6 +237,7 @@
 	su.lg.Info("control-link-up", fields...)
 	so.lossLogged = false
 	so.name, so.members, so.sharers = sn.Name, sn.Members, sn.Sharers
+	so.stalls.set(sn.Features)
 	so.sameDataCentre = sn.DataCentre != "" && sn.DataCentre == su.cf.Self.DataCentre
 	so.entries = make(map[string]Entry, len(sn.Entries))
 	for _, en := range sn.Entries {
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -76,6 +76,9 @@
 	// Suspects returns this instance's records of requests suspected of crashing servers,
 	// which are sent to a control instance whose link comes up; nil for none.
 	Suspects func() []quarantine.Record
+	// StallsHeard is called by the goroutine of Serve with news of stalls; nil if stalls are
+	// not shared. See Subscriber.receiveStalls.
+	StallsHeard func(late time.Duration, sts Stalls)
 }
 
 // Subscriber keeps an entry instance's links to all control instances. Its methods are
@@ -115,6 +118,8 @@
 	fetch               fetch
 	findings            map[string]receivedFinding // findings of the last outlier.FindingTTL by id
 	configuration       []byte                     // configuration in force, the base for the next delta
+	startedAt           time.Time                  // when the subscriber was created
+	stallLog            *limitedLogger
 	seedsReadAt         time.Time
 	wakeTimer           *timer.Timeout
 	wakeAtTime          time.Time
@@ -131,6 +136,8 @@
 		gone:       make(map[string]struct{}),
 		newInvites: make(map[string]time.Time),
 		un:         registry.NewUnion(cf.RetentionTimeout),
+		startedAt:  ts.Now(),
+		stallLog:   newStallLogger(lg),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// Warmup sets the burst factor and slack of requests to cold backend servers. Rate and
 	// duration come from the configuration of each service.
 	Warmup warmup.Limit
+	// SharedStalls is set if entry instances tell each other of stalled backend servers,
+	// where the configuration has a route over many shards and there are many of them.
+	SharedStalls bool
 }
 
 // Server answers the requests of callers. It is safe for concurrent use.
@@ -83,6 +86,7 @@
 	inFlight         atomic.Int64
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
 	metrics          serverMetrics
+	stalls           stallWatch
 	serversChangedAt atomic.Int64 // when the set of backend servers last changed, in nanoseconds since started
 
 	mu            sync.Mutex // guards the fields below
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -48,6 +48,8 @@
 	entries     int
 	justStarted bool // the gateway has just started
 	noTable     bool
+
+	sharedStalls bool
 }
 
 // rig is a gateway between callers and backend servers.
@@ -89,6 +91,7 @@
 	re := replica.New(replica.Config{Seed: 1, HedgeFraction: 0.08})
 	rg.gw = New(Config{
 		Names: names, CallerDelay: callerDelay, PartialMargin: partialMargin, MaxInFlight: se.maxInFlight,
+		SharedStalls: se.sharedStalls,
 	}, rg.ts, lg, rg.up, re, rg.bu, quarantine.New())
 	if !se.justStarted {
 		rg.gw.started = rg.gw.started.Add(-startupDuration)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -50,6 +50,8 @@
 	attempts []attemptRecord   // all attempts of the request
 	results  chan attemptResult
 	waiting  waitState
+
+	stallNews chan struct{} // nil unless stalls are shared; see stalls.go
 }
 
 // execute runs a query over one shard for each of the services and returns its executor,
@@ -84,6 +86,7 @@
 	ctx, cancel := upstream.WithCancel(context.WithoutCancel(caller))
 	defer cancel(upstream.ErrSuperseded)
 	defer ex.leaveQueue()
+	defer ex.watchStalls()()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var attempts []scatter.Attempt
@@ -103,6 +106,8 @@
 			ex.drainResults()
 		case sh := <-ex.waiting.wakeups:
 			ex.capacityFreed(sh)
+		case <-ex.stallNews:
+			ex.hedgeStalled(ts.Now())
 		case <-timer.C:
 		case <-caller.Done():
 			// The caller has left: its requests at the backend servers are canceled, too.
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -104,6 +104,7 @@
 	sv.re.SetWarmups(warmups)
 	sv.re.SetPreferred(sc.home)
 	sv.up.Retain(targets)
+	sv.updateStalls(tb, entries)
 	sv.qu.wakeAll()
 }
 
--- a/replica/balancer.go
+++ b/replica/balancer.go
@@ -63,6 +63,8 @@
 	sampledAt     time.Duration        // sampledAt is when TakeSamples was last called.
 	urgent        chan struct{}        // urgent is returned by Urgent.
 	urgentSent    bool                 // urgentSent is set if urgent was sent to since the last TakeSamples.
+	stalls        *sharedStalls        // stalls is nil while stalls are not shared; see stalls.go.
+	stallWork     chan struct{}        // stallWork is returned by StallWork.
 }
 
 // incarnation identifies one start of a backend server.
@@ -87,6 +89,8 @@
 		classes:  make(map[string]*latencyStats),
 		replaced: make(map[incarnation]bool),
 		urgent:   make(chan struct{}, 1),
+
+		stallWork: make(chan struct{}, 1),
 	}
 }
 
@@ -237,6 +241,7 @@
 			pk.se.countOutcome(re.Outcome)
 		}
 		ba.record(at, pk.se, &fl, re.Outcome)
+		ba.recordStallEnd(at, pk.se, &fl, re.Outcome)
 		ba.signalUrgent(pk.se)
 	}
 }
@@ -326,6 +331,7 @@
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	ba.resumed = ba.at(now)
+	ba.dropStalls()
 	for _, se := range ba.servers {
 		se.clearSuspicion()
 	}
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -61,6 +61,7 @@
 	health   health
 	expected float64
 	local    bool    // local is set for servers of the local data centre and for preferred servers.
+	stalled  bool    // stalled is set if a request would meet a stall of the server.
 	discount float64 // discount divides the expected latency when it is compared with the lowest one.
 }
 
@@ -80,11 +81,13 @@
 	if len(cas) == 0 {
 		return Pick{}, false
 	}
+	cas = ba.withoutStalled(at, rq, cas)
 	ca, ok := ba.pickProbe(at, rq, cas)
 	if !ok {
 		ca = ba.best(cas)
 	}
 	ca.se.permit = ca.se.permit.used(at)
+	ba.watchStalls(ca.se)
 	return Pick{
 		Server: ca.se.record, Unhealthy: ca.health != healthy, se: ca.se, number: ca.se.send(at, ls),
 	}, true
@@ -204,7 +207,7 @@
 	at := ba.at(now)
 	ls := ba.class(at, rq)
 	delay := ls.hedgeDelay(at)
-	if pk.se != nil && ba.hasBetter(at, rq, pk) {
+	if pk.se != nil && (ba.hasBetter(at, rq, pk) || ba.stalledWithFree(at, rq, pk.se)) {
 		return min(delay, ls.medianOrDefault())
 	}
 	return delay
--- a/replica/server.go
+++ b/replica/server.go
@@ -6,6 +6,7 @@
 
 	"balsamwinch.example/outlier"
 	"balsamwinch.example/registry"
+	"balsamwinch.example/stall"
 )
 
 const (
@@ -85,6 +86,9 @@
 
 	finding      outlier.Finding // finding is what all entry instances together saw of the server.
 	findingUntil time.Duration   // findingUntil is when finding expires.
+
+	outlook stall.Outlook // outlook is what is known of its stalls; see stalls.go.
+	watched bool          // watched is set while the server is in sharedStalls.watched.
 }
 
 // flight is a request in flight.
@@ -96,6 +100,7 @@
 	overdue   bool          // overdue is set once the request has passed its hedge delay.
 	suspected bool          // suspected is set while the request is overdue and the server has not answered any request since.
 	reported  bool          // reported is set once the slow latency is in a sample.
+	stuck     bool          // stuck is set once the request counts as stuck at a stalled server.
 }
 
 func newServer(at time.Duration, re registry.Server) *server {
--- a/tier/control.go
+++ b/tier/control.go
@@ -49,6 +49,7 @@
 	qa := quarantine.New()
 	co.pu = feed.NewPublisher(feed.PublisherConfig{
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
+		SharedStalls: se.Stalls.Shared,
 	}, ts, lg)
 	co.ro = newRosters(di.NewParser(), co.pu, ts, lg)
 	ss := stateStore{dir: se.DataFolder, pu: co.pu, ps: &peerServers{mergeSuspects: co.pu.AddSuspects}, ro: co.ro, qa: qa, ts: ts, lg: lg}
@@ -69,7 +70,7 @@
 	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(ia)); err != nil {
 		return err
 	}
-	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), ia.set.WritePrometheus)...)
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), writeStallShareMetrics(co.pu), ia.set.WritePrometheus)...)
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -70,12 +70,13 @@
 	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
 		return err
 	}
-	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinkMetrics(en.su), en.gw.WriteMetrics)...)
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinkMetrics(en.su), writeStallMetrics(en.re), en.gw.WriteMetrics)...)
 	sp.Add(service{"feed", en.su.Serve})
 	en.addInvitations(sp, se.LinkAddress(), lc)
 	sp.Add(service{"callers", en.callers.Serve})
 	sp.Add(service{"news", en.sendObservations})
 	sp.Add(service{"load", en.sendLoad})
+	sp.Add(service{"stalls", en.reportStalls})
 	sp.Add(service{"suspects", en.sendSuspects})
 	sp.Add(service{"house", func(ctx context.Context) error { return runHousekeeping(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.stop(se.Timing.StopWithin, ts) })
@@ -104,12 +105,14 @@
 	en.gw = gateway.New(gateway.Config{
 		Names: di.HeaderNames(), Name: se.Name, DataCentre: se.DataCentre,
 		CallerDelay: se.Timing.CallerDistance, PartialMargin: partialMargin, MaxInFlight: maxInFlight,
-		Warmup: warmup.Limit{BurstFactor: se.Warmup.Overage, Slack: se.Warmup.Slack},
+		Warmup:       warmup.Limit{BurstFactor: se.Warmup.Overage, Slack: se.Warmup.Slack},
+		SharedStalls: se.Stalls.Shared,
 	}, ts, lg, up, re, bu, qa)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: ls.linkSeeds, Link: lc, RetentionTimeout: serverRetentionTimeout,
-		Suspects: func() []quarantine.Record { return qa.Records(ts.Now()) },
+		Suspects:    func() []quarantine.Record { return qa.Records(ts.Now()) },
+		StallsHeard: en.stallsHeard(se),
 	}, ts, lg, en)
 	en.sr = &stateReporter{report: en.su.SetState}
 	return en
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -34,6 +34,7 @@
 	Timing      Timing
 	Budget      Budget
 	Warmup      Warmup
+	Stalls      Stalls
 	Metrics     string // IP:port that serves metrics; empty for none
 }
 
@@ -99,6 +100,7 @@
 		},
 		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Warmup: Warmup{Overage: 1},
+		Stalls: Stalls{Shared: true},
 		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
