gateway: make the hedge delay in tests of stalls independent of the order of answers

The tests expected the hedge delay of a class without samples, but answers that came without any time changed it for attempts started after them: 4 of 5 runs of TestStallsAreSharedInLargeTiersOnly gave 313 µs instead of 50 ms. Servers now work for 2 ms, after all attempts have begun.

go test -race -run Stall ./gateway -count=30 passes.

--- a/gateway/stalls_test.go
+++ b/gateway/stalls_test.go
@@ -13,6 +13,10 @@
 	"balsamwinch.example/stall"
 )
 
+// workTime is how long a server that isn't stalled works. All attempts of a query have begun
+// by then, so that no answer changes their hedge delay.
+const workTime = 2 * time.Millisecond
+
 // newStallRig returns a rig with a route over the given number of shards, two servers each,
 // and the given number of entry instances.
 func newStallRig(t *testing.T, shards, entries int, shared bool) *rig {
@@ -40,7 +44,7 @@
 	done := false
 	rg.behave = func(wo *work) behavior {
 		if wo.be.service != service || done {
-			return respondOK
+			return delayed(workTime, respondOK)
 		}
 		done = true
 		stalled <- wo.be.record()
@@ -66,7 +70,7 @@
 		rg.hearStall(se)
 		an := <-answer
 		rg.checkStatus(an, http.StatusOK)
-		qt.Assert(t, an.took, qt.Equals, 5*time.Millisecond)
+		qt.Assert(t, an.took, qt.Equals, 5*time.Millisecond+workTime)
 	})
 }
 
@@ -87,7 +91,7 @@
 				answer := rg.sendAsync(request{uri: "/a"})
 				rg.hearStall(<-stalled)
 				an := <-answer
-				qt.Assert(t, an.took, qt.Equals, 50*time.Millisecond)
+				qt.Assert(t, an.took, qt.Equals, 50*time.Millisecond+workTime)
 				_, _, busy := rg.gw.re.CheckStalls(rg.ts.Now())
 				qt.Assert(t, busy, qt.IsFalse)
 			})
