stall, feed, replica: stalls that recur at regular times are forecast

The stalls of each backend server recur with a period that the servers of one kind share. News of a stall are late for the requests that are in flight, and for those of its first 50 ms.

A control instance finds the period from the times between the starts of each server's stalls: of the periods that agree with most of them the one that exceeds chance by the most standard deviations, which is the largest. Two agreeing stalls of a server give its phase. Entry instances avoid servers whose forecast stall would overlap the work, but send 4 % of their requests all the same, so that stalls or quick answers confirm or contradict the forecast. Stalls that exceed a forecast move it, and with it the period. It is dropped after contradictions, stalls at other times, many periods without a stall, longer trouble, and with a new start of the server.

--- a/feed/stalls.go
+++ b/feed/stalls.go
@@ -79,13 +79,22 @@
 	return FeatureStalls
 }
 
-// StallCounts returns how many observations of stalls were received and how many news were
-// published.
-func (pu *Publisher) StallCounts() (heard, published uint64) {
-	if pu.stalls == nil {
-		return 0, 0
+// StallCounts counts what a control instance did about stalls.
+type StallCounts struct {
+	Heard     uint64 // Heard counts the observations that were received.
+	Published uint64 // Published counts the news, once for all entry instances.
+	Forecasts stall.Counts
+}
+
+// StallCounts returns the counts so far.
+func (pu *Publisher) StallCounts() StallCounts {
+	ss := pu.stalls
+	if ss == nil {
+		return StallCounts{}
 	}
-	return pu.stalls.heard.Load(), pu.stalls.sent.Load()
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return StallCounts{Heard: ss.heard.Load(), Published: ss.sent.Load(), Forecasts: ss.tr.Counts()}
 }
 
 // addStalls evaluates the observations of an entry instance.
@@ -158,6 +167,15 @@
 	}
 	ss.updatedAt = at
 	ss.tr.Update(at)
+	for _, ch := range ss.tr.TakeChanges() {
+		fields := []zap.Field{zap.String("ID", ch.ID), zap.Duration("Period", ch.Period), zap.Duration("Length", ch.Length)}
+		if ch.Reason == "" {
+			ss.ll.info(now, "stall-forecast-made", fields...)
+		} else {
+			ss.ll.info(now, "stall-forecast-dropped", append(fields, zap.String("Reason", ch.Reason))...)
+		}
+	}
+	pu.publishStalls(at, Stalls{Forecasts: ss.tr.TakeForecasts(at)})
 }
 
 // stallSource is what a subscriber knows of a control instance's messages about stalls.
--- a/feed/stalls_test.go
+++ b/feed/stalls_test.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -16,16 +18,26 @@
 	mu    sync.Mutex
 	heard []stall.Stall
 	late  []time.Duration
+	fcs   map[string]stall.Forecast // by server
+}
+
+func (se *stallEntry) forecasts() map[string]stall.Forecast {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return maps.Clone(se.fcs)
 }
 
 func (cl *cluster) stallEntry(name, seed string) *stallEntry {
-	se := &stallEntry{}
+	se := &stallEntry{fcs: make(map[string]stall.Forecast)}
 	se.entry = cl.subscribe(SubscriberConfig{
 		Self: Entry{Name: name, Address: name + ":80", State: Ready},
 		StallsHeard: func(late time.Duration, st Stalls) {
 			se.mu.Lock()
 			defer se.mu.Unlock()
 			se.heard, se.late = append(se.heard, st.Stalls...), append(se.late, late)
+			for _, fc := range st.Forecasts {
+				se.fcs[fc.ID] = fc
+			}
 		},
 	}, []string{seed})
 	return se
@@ -55,8 +67,7 @@
 			c.Assert(se.received()[0].AgeMillis < 40, qt.IsTrue)
 			c.Assert(se.late[0] < 5*time.Millisecond, qt.IsTrue)
 		}
-		heard, published := cos[0].pu.StallCounts()
-		c.Assert([]uint64{heard, published}, qt.DeepEquals, []uint64{1, 1})
+		c.Assert(cos[0].pu.StallCounts(), qt.Equals, StallCounts{Heard: 1, Published: 1})
 	})
 }
 
@@ -115,3 +126,34 @@
 		c.Assert(two.late[len(two.late)-1] > 100*time.Millisecond, qt.IsTrue)
 	})
 }
+
+// Guards against forecasts that don't reach an entry instance, in particular one that links
+// after they were made, and against forecasts kept by a control instance that stood still.
+func TestForecastsReachAllEntries(t *testing.T) {
+	runInBubble(t, func(c *qt.C, cl *cluster) {
+		cl.sharedStalls = true
+		cos := cl.group("a-one")
+		one := cl.stallEntry("entry-1", cos[0].member.Address)
+		cl.advance(time.Second)
+		const servers, period = 20, 3 * time.Second
+		for range 3 {
+			for ix := range servers {
+				one.su.SendStalls([]stall.Observation{{ID: fmt.Sprint("a", ix), Kind: stall.Answered, AgeMillis: 120, EndMillis: 1}})
+				cl.advance(period / servers)
+			}
+		}
+		cl.advance(time.Second)
+		c.Assert(len(one.forecasts()), qt.Equals, servers)
+		c.Assert(cos[0].pu.StallCounts().Forecasts.Made, qt.Equals, uint64(servers))
+		c.Assert(cl.logs.FilterMessage("stall-forecast-made").Len() > 0, qt.IsTrue)
+		two := cl.stallEntry("entry-2", cos[0].member.Address)
+		cl.advance(7 * time.Second)
+		c.Assert(len(two.forecasts()), qt.Equals, servers)
+		for id, fc := range two.forecasts() {
+			c.Assert(fc.PeriodMicros > 2990000 && fc.PeriodMicros < 3010000, qt.IsTrue, qt.Commentf("%s %+v", id, fc))
+		}
+		pu := cos[0].pu
+		pu.updateStalls(cl.ts.Now().Add(2 * stallGap))
+		c.Assert(pu.stalls.tr.TakeForecasts(time.Hour), qt.HasLen, 0)
+	})
+}
--- a/gateway/stalls.go
+++ b/gateway/stalls.go
@@ -50,9 +50,10 @@
 	return false
 }
 
-// HearStalls applies news of stalled backend servers that arrived late by the given time.
-// Queries with a request in flight to one of them hedge it at once.
-func (sv *Server) HearStalls(now time.Time, late time.Duration, sts []stall.Stall) {
+// HearStalls applies news of stalled backend servers, and forecasts, that arrived late by the
+// given time. Queries with a request in flight to a server that is stalled hedge it at once.
+func (sv *Server) HearStalls(now time.Time, late time.Duration, sts []stall.Stall, fcs []stall.Forecast) {
+	sv.re.SetForecasts(now, late, fcs)
 	if sv.re.HearStalls(now, late, sts) == 0 {
 		return
 	}
--- a/gateway/stalls_test.go
+++ b/gateway/stalls_test.go
@@ -55,7 +55,7 @@
 
 // hearStall passes news of a stalled server to the gateway.
 func (rg *rig) hearStall(se registry.Server) {
-	rg.gw.HearStalls(rg.ts.Now(), 0, []stall.Stall{{ID: se.ID, Born: se.Born, AgeMillis: 30, LeftMillis: 100}})
+	rg.gw.HearStalls(rg.ts.Now(), 0, []stall.Stall{{ID: se.ID, Born: se.Born, AgeMillis: 30, LeftMillis: 100}}, nil)
 }
 
 // Guards against a request in flight to a stalled server that waits for its usual hedge
--- a/replica/choose.go
+++ b/replica/choose.go
@@ -81,7 +81,7 @@
 	if len(cas) == 0 {
 		return Pick{}, false
 	}
-	cas = ba.withoutStalled(at, rq, cas)
+	cas = ba.withoutStalled(at, rq, cas, ls.medianOrDefault())
 	ca, ok := ba.pickProbe(at, rq, cas)
 	if !ok {
 		ca = ba.best(cas)
@@ -207,7 +207,7 @@
 	at := ba.at(now)
 	ls := ba.class(at, rq)
 	delay := ls.hedgeDelay(at)
-	if pk.se != nil && (ba.hasBetter(at, rq, pk) || ba.stalledWithFree(at, rq, pk.se)) {
+	if pk.se != nil && (ba.hasBetter(at, rq, pk) || ba.stalledWithFree(at, rq, pk.se, ls.medianOrDefault())) {
 		return min(delay, ls.medianOrDefault())
 	}
 	return delay
--- a/replica/stalls.go
+++ b/replica/stalls.go
@@ -23,6 +23,11 @@
 	minStuckBound    = 3
 )
 
+// forecastProbeFraction is the fraction of requests that are sent to a server although a
+// stall is forecast. A server gets some seven requests in the time of one, so that one in
+// four forecast stalls is confirmed or contradicted.
+const forecastProbeFraction = 0.04
+
 // sharedStalls is the state of the stalls that entry instances tell each other of.
 type sharedStalls struct {
 	rp        *stall.Reporter
@@ -82,7 +87,7 @@
 	}
 	ba.stalls.watched, ba.stalls.checkAt = nil, 0
 	for _, se := range ba.servers {
-		se.outlook = stall.Outlook{}
+		se.outlook.Drop()
 	}
 }
 
@@ -193,7 +198,8 @@
 	if se.hasFault(at) {
 		return
 	}
-	_, known := se.outlook.Until(at)
+	_, forecast, known := se.outlook.Until(at, 0)
+	known = known && !forecast // The forecast needs to be confirmed.
 	for ix := range se.inFlight {
 		fl := &se.inFlight[ix]
 		known = known || fl.stuck
@@ -207,11 +213,15 @@
 		if !known {
 			known = true
 			ss.numStuck++
-			ss.rp.Stuck(at, se.record.ID, se.record.Born, fl.start)
+			ss.rp.Stuck(at, se.stallServer(), fl.start)
 		}
 	}
 }
 
+func (se *server) stallServer() stall.Server {
+	return stall.Server{ID: se.record.ID, Born: se.record.Born, Group: stall.GroupOf(se.record.Service)}
+}
+
 // recordStallEnd records the end of a request: a stuck one tells how long the server was
 // stalled, and any answer may tell that it is not stalled any more.
 func (ba *Balancer) recordStallEnd(at time.Duration, se *server, fl *flight, outcome Outcome) {
@@ -221,9 +231,12 @@
 	}
 	switch {
 	case outcome == Served && fl.stuck:
-		ss.rp.Ended(at, se.record.ID, se.record.Born, fl.start, stall.Answered)
+		ss.rp.Ended(at, se.stallServer(), fl.start, stall.Answered)
 	case outcome == Abandoned && fl.stuck:
-		ss.rp.Ended(at, se.record.ID, se.record.Born, fl.start, stall.Abandoned)
+		ss.rp.Ended(at, se.stallServer(), fl.start, stall.Abandoned)
+	case outcome == Served && se.outlook.Contradicts(at, fl.start):
+		ss.numQuick++
+		ss.rp.Ended(at, se.stallServer(), fl.start, stall.Quick)
 	}
 	if outcome == Served {
 		se.outlook.Answered(fl.start)
@@ -249,18 +262,33 @@
 	return count
 }
 
+// SetForecasts applies forecasts of stalls that arrived late by the given time.
+func (ba *Balancer) SetForecasts(now time.Time, late time.Duration, fcs []stall.Forecast) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	at := ba.at(now)
+	if ba.stalls == nil {
+		return
+	}
+	for _, fc := range fcs {
+		if se := ba.servers[fc.ID]; se != nil && se.record.Born == fc.Born {
+			se.outlook.SetForecast(at, late, fc)
+		}
+	}
+}
+
 // withoutStalled removes the candidates that are stalled, if another healthy one is left.
 // If all healthy ones are stalled, only the one whose stall ends first is left. The choice
 // among the rest is as it is without stalls, so that no server gets the whole load of a
 // stalled one.
-func (ba *Balancer) withoutStalled(at time.Duration, rq Request, cas []candidate) []candidate {
+func (ba *Balancer) withoutStalled(at time.Duration, rq Request, cas []candidate, median time.Duration) []candidate {
 	if ba.stalls == nil || len(cas) < 2 {
 		return cas
 	}
 	numHealthy, numStalled, first, firstUntil := 0, 0, 0, time.Duration(0)
 	for ix := range cas {
 		ca := &cas[ix]
-		until, stalled := ba.stalledUntil(at, rq, ca)
+		until, stalled := ba.stalledUntil(at, rq, ca, ca.se.expectedWork(at, median))
 		ca.stalled = stalled
 		if ca.health != healthy {
 			continue
@@ -291,24 +319,36 @@
 }
 
 // stalledUntil returns when the stall ends that a request to the candidate would meet. It
-// returns false if there is none.
-func (*Balancer) stalledUntil(at time.Duration, _ Request, ca *candidate) (time.Duration, bool) {
-	return ca.se.outlook.Until(at)
+// returns false if there is none. A few requests ignore a forecast, since no other request
+// could show that the stall did not come.
+func (ba *Balancer) stalledUntil(at time.Duration, rq Request, ca *candidate, work time.Duration) (time.Duration, bool) {
+	until, forecast, stalled := ca.se.outlook.Until(at, work)
+	if stalled && forecast && !rq.NoProbe && len(rq.Avoid) == 0 && ba.rn.Float64() < forecastProbeFraction {
+		return 0, false
+	}
+	return until, stalled
 }
 
-// stalledWithFree reports whether a server is stalled while another healthy one is not.
-func (ba *Balancer) stalledWithFree(at time.Duration, rq Request, se *server) bool {
+// expectedWork returns the time that work of a median takes at a server, without the load
+// there.
+func (se *server) expectedWork(at, median time.Duration) time.Duration {
+	return time.Duration(se.slowness(at) * float64(median))
+}
+
+// stalledWithFree reports whether a server is stalled, or will be before work of a median is
+// done, while another healthy one is not.
+func (ba *Balancer) stalledWithFree(at time.Duration, rq Request, se *server, median time.Duration) bool {
 	if ba.stalls == nil {
 		return false
 	}
-	if _, stalled := se.outlook.Until(at); !stalled {
+	if _, _, stalled := se.outlook.Until(at, se.expectedWork(at, median)); !stalled {
 		return false
 	}
 	for _, ot := range ba.services[rq.Service] {
 		if ot == se || !ba.usable(ot, rq) || ot.health(at) != healthy {
 			continue
 		}
-		if _, stalled := ot.outlook.Until(at); !stalled {
+		if _, _, stalled := ot.outlook.Until(at, ot.expectedWork(at, median)); !stalled {
 			return true
 		}
 	}
@@ -321,5 +361,9 @@
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	at := ba.at(now)
-	return pk.se != nil && pk.se.find(pk.number) != nil && ba.stalledWithFree(at, rq, pk.se)
+	if pk.se == nil || ba.stalls == nil {
+		return false
+	}
+	fl := pk.se.find(pk.number)
+	return fl != nil && ba.stalledWithFree(at, rq, pk.se, fl.stats.medianOrDefault())
 }
--- a/replica/stalls_test.go
+++ b/replica/stalls_test.go
@@ -60,7 +60,7 @@
 	fx.ba.Done(fx.now, pk, Report{Outcome: Abandoned})
 	obs, _, busy := fx.ba.CheckStalls(fx.now)
 	c.Assert(busy, qt.IsFalse)
-	c.Assert(obs, qt.DeepEquals, []stall.Observation{{ID: pk.Server.ID, Kind: stall.Abandoned, AgeMillis: 40}})
+	c.Assert(obs, qt.DeepEquals, []stall.Observation{{ID: pk.Server.ID, Kind: stall.Abandoned, AgeMillis: 40, Group: stall.GroupOf("s")}})
 }
 
 // Guards against reports that say nothing about a server: a known fault explains the
@@ -203,3 +203,52 @@
 	c.Assert(count, qt.Equals, 0)
 	c.Assert(fx.countChoices(100)["a"] > 0, qt.IsTrue)
 }
+
+// forecastStall applies a forecast of a stall of 120 ms every 3 s.
+func (fx *fixture) forecastStall(id string, in time.Duration) {
+	fx.ba.SetForecasts(fx.now, 0, []stall.Forecast{{
+		ID: id, PeriodMicros: 3000000, InMillis: uint32(in / ms), LengthMillis: 120, SpreadMillis: 20,
+	}})
+}
+
+// Guards against requests that are sent to a server just before its forecast stall, and
+// against a server that nobody asks any more: some requests must confirm the forecast.
+func TestForecastStallIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	fx := newStallFixture(c, 3)
+	fx.forecastStall("a", time.Second)
+	c.Assert(fx.countChoices(600)["a"] > 150, qt.IsTrue)
+	fx.advance(972 * ms)
+	counts := fx.countChoices(3000)
+	c.Assert(counts["a"] > 10 && counts["a"] < 120, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["b"] > 1300 && counts["c"] > 1300, qt.IsTrue, qt.Commentf("%v", counts))
+	fx.forecastStall("b", 30*ms)
+	fx.forecastStall("c", 40*ms)
+	fx.advance(60 * ms)
+	counts = fx.countChoices(3000) // The stall of a began first and ends first.
+	c.Assert(counts["a"] > 2600, qt.IsTrue, qt.Commentf("%v", counts))
+	fx.advance(time.Second)
+	c.Assert(fx.countChoices(600)["a"] > 150, qt.IsTrue)
+}
+
+// Guards against a hedge that waits although the server is about to stall, and against a
+// forecast that is never found wrong.
+func TestRequestsDuringForecastStall(t *testing.T) {
+	c := qt.New(t)
+	fx := newStallFixture(c, 2)
+	for range 30 {
+		fx.answer("b", 40*ms)
+	}
+	fx.advance(30 * time.Second)
+	fx.answer("b", 10*ms)
+	pk := fx.chooseServer("a")
+	before := fx.ba.HedgeDelay(fx.now, fx.request(), pk)
+	fx.forecastStall("a", 5*ms)
+	c.Assert(fx.ba.HedgeDelay(fx.now, fx.request(), pk) < before, qt.IsTrue)
+	fx.ba.Done(fx.now, pk, Report{Outcome: Served})
+	fx.advance(30 * ms)
+	fx.answer("a", 10*ms)
+	obs, _, _ := fx.ba.CheckStalls(fx.now)
+	c.Assert(obs, qt.HasLen, 1)
+	c.Assert(obs[0].Kind, qt.Equals, stall.Quick)
+}
--- a/stall/reporter.go
+++ b/stall/reporter.go
@@ -22,16 +22,16 @@
 func NewReporter() *Reporter { return &Reporter{} }
 
 // Stuck records a request in flight that is stuck.
-func (rp *Reporter) Stuck(at time.Duration, id string, born int64, sent time.Duration) {
-	rp.add(waiting{ob: Observation{ID: id, Born: born, Kind: Stuck}, sent: sent, seen: at})
+func (rp *Reporter) Stuck(at time.Duration, se Server, sent time.Duration) {
+	rp.add(waiting{ob: Observation{ID: se.ID, Born: se.Born, Group: se.Group, Kind: Stuck}, sent: sent, seen: at})
 }
 
 // Ended records the end of a request: one that was stuck (Answered, Abandoned) or Quick.
 // If the request still waits here as Stuck, only its end is sent.
-func (rp *Reporter) Ended(at time.Duration, id string, born int64, sent time.Duration, ki Kind) {
-	ended := waiting{ob: Observation{ID: id, Born: born, Kind: ki}, sent: sent, ended: at, seen: at}
+func (rp *Reporter) Ended(at time.Duration, se Server, sent time.Duration, ki Kind) {
+	ended := waiting{ob: Observation{ID: se.ID, Born: se.Born, Group: se.Group, Kind: ki}, sent: sent, ended: at, seen: at}
 	for ix, wa := range rp.waiting {
-		if wa.ob.Kind == Stuck && wa.ob.ID == id && wa.sent == sent {
+		if wa.ob.Kind == Stuck && wa.ob.ID == se.ID && wa.sent == sent {
 			rp.waiting[ix] = ended
 			return
 		}
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -12,7 +12,10 @@
 // common.
 package stall
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 const (
 	// MinLength is the length that a stall is expected to have at least.
@@ -52,6 +55,27 @@
 	// 0 while it is in flight.
 	AgeMillis uint32 `cbor:"4,keyasint,omitempty"`
 	EndMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// Group is that of the server, as GroupOf its service.
+	Group uint32 `cbor:"6,keyasint,omitempty"`
+}
+
+// Server identifies one start of a backend server.
+type Server struct {
+	ID    string
+	Born  int64
+	Group uint32
+}
+
+// GroupOf returns the group of a service: a digest of its name without the numbers in it. The
+// servers of one group are taken to stall with the same period. It is never 0.
+func GroupOf(service string) uint32 {
+	ha := fnv.New32a()
+	for ix := range len(service) {
+		if ch := service[ix]; ch < '0' || ch > '9' {
+			_, _ = ha.Write([]byte{ch})
+		}
+	}
+	return max(1, ha.Sum32())
 }
 
 // Stall is news of a server that is stalled now.
--- a/stall/tracker.go
+++ b/stall/tracker.go
@@ -30,13 +30,19 @@
 // Tracker combines the observations of all entry instances at a control instance. It is
 // not safe for concurrent use.
 type Tracker struct {
-	servers map[string]*server
-	news    []announced
-	swept   time.Duration
+	servers   map[string]*server
+	groups    map[uint32]*group
+	news      []announced
+	withdrawn []Forecast // that wait to be sent
+	changes   []Change
+	counts    Counts
+	swept     time.Duration
 }
 
 // server is the state of one start of a backend server.
 type server struct {
+	id           string
+	group        uint32
 	born         int64
 	seen         time.Duration // time of the last observation
 	current      interval      // the newest series of stuck requests
@@ -44,6 +50,8 @@
 	stalls       []interval    // earlier ones, the oldest first
 	announced    time.Duration // until when the current one has been announced
 	troubleUntil time.Duration
+	forecast     *forecast     // nil if there is none
+	period       time.Duration // of the forecast
 }
 
 // interval is a time in which requests were stuck at a server.
@@ -61,7 +69,9 @@
 }
 
 // NewTracker returns a Tracker without observations.
-func NewTracker() *Tracker { return &Tracker{servers: make(map[string]*server)} }
+func NewTracker() *Tracker {
+	return &Tracker{servers: make(map[string]*server), groups: make(map[uint32]*group)}
+}
 
 // Add adds observations that arrived now. Those of an earlier start of a server, and those
 // that are too old, are dropped.
@@ -87,7 +97,10 @@
 	case se != nil && ob.Born < se.born:
 		return nil
 	case se == nil || ob.Born > se.born:
-		se = &server{born: ob.Born}
+		se = &server{id: ob.ID, born: ob.Born, group: ob.Group}
+		if _, ok := tr.groups[ob.Group]; !ok && len(tr.groups) >= maxGroups {
+			se.group = allServers
+		}
 		tr.servers[ob.ID] = se
 	}
 	se.seen = at
@@ -97,6 +110,9 @@
 // observe adds an interval to the series of stuck requests that it belongs to, or begins a
 // new one.
 func (tr *Tracker) observe(at time.Duration, ob Observation, se *server, in interval) {
+	if se.forecast != nil {
+		se.forecast.observe(ob, in)
+	}
 	if ob.Kind == Quick {
 		return
 	}
@@ -130,7 +146,14 @@
 	if se.current.end == 0 || se.recorded {
 		return
 	}
-	if se.recorded = true; len(se.stalls) >= maxStalls {
+	se.recorded = true
+	if fc := se.forecast; fc != nil {
+		if !fc.near(se.current) {
+			fc.numIrregular++
+		}
+		return // It is observed in part only.
+	}
+	if len(se.stalls) >= maxStalls {
 		se.stalls = se.stalls[1:]
 	}
 	se.stalls = append(se.stalls, se.current)
@@ -141,6 +164,9 @@
 	if at < se.announced || len(tr.news) >= maxNews {
 		return
 	}
+	if se.forecast != nil && se.forecast.covers(interval{start: at, end: at}) {
+		return // The entry instances avoid it already.
+	}
 	until := max(se.current.start+tr.length(se), at+minLeft)
 	se.announced = until
 	tr.news = append(tr.news, announced{id: id, born: se.born, began: se.current.start, until: until, since: at})
@@ -177,7 +203,8 @@
 
 // Drop drops everything, because the process stood still.
 func (tr *Tracker) Drop() {
-	tr.servers, tr.news = make(map[string]*server), nil
+	tr.servers, tr.groups = make(map[string]*server), make(map[uint32]*group)
+	tr.news, tr.withdrawn = nil, nil
 }
 
 // Update brings the state up to date. It should be called a few times a second.
@@ -187,12 +214,13 @@
 			se.record()
 		}
 	}
+	tr.updateForecasts(at)
 	if at-tr.swept < idleTTL/4 {
 		return
 	}
 	tr.swept = at
 	for id, se := range tr.servers {
-		if at-se.seen >= idleTTL {
+		if at-se.seen >= idleTTL && se.forecast == nil {
 			delete(tr.servers, id)
 		}
 	}
--- a/stall/tracker_test.go
+++ b/stall/tracker_test.go
@@ -77,16 +77,16 @@
 func TestReporterMergesBeginAndEnd(t *testing.T) {
 	c := qt.New(t)
 	rp := NewReporter()
-	rp.Stuck(130*ms, "a", 1, 100*ms)
-	rp.Stuck(130*ms, "b", 1, 101*ms)
-	rp.Ended(140*ms, "a", 1, 100*ms, Abandoned)
+	rp.Stuck(130*ms, Server{ID: "a", Born: 1}, 100*ms)
+	rp.Stuck(130*ms, Server{ID: "b", Born: 1}, 101*ms)
+	rp.Ended(140*ms, Server{ID: "a", Born: 1}, 100*ms, Abandoned)
 	c.Assert(rp.Take(141*ms), qt.DeepEquals, []Observation{
 		{ID: "a", Born: 1, Kind: Abandoned, AgeMillis: 41, EndMillis: 1}, {ID: "b", Born: 1, AgeMillis: 40},
 	})
-	rp.Stuck(200*ms, "a", 1, 170*ms)
+	rp.Stuck(200*ms, Server{ID: "a", Born: 1}, 170*ms)
 	c.Assert(rp.Take(200*ms+MaxNewsAge), qt.HasLen, 0)
 	for range 2 * maxReported {
-		rp.Stuck(300*ms, "a", 1, 270*ms)
+		rp.Stuck(300*ms, Server{ID: "a", Born: 1}, 270*ms)
 	}
 	c.Assert(rp.Len(), qt.Equals, maxReported)
 	rp.Drop()
@@ -113,7 +113,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var ou Outlook
 			tt.event(&ou)
-			_, stalled := ou.Until(1020 * ms)
+			_, _, stalled := ou.Until(1020*ms, 5*ms)
 			qt.Assert(t, stalled, qt.Equals, tt.want)
 		})
 	}
--- a/tier/stalls.go
+++ b/tier/stalls.go
@@ -26,7 +26,7 @@
 	if !se.Stalls.Shared {
 		return nil
 	}
-	return func(late time.Duration, st feed.Stalls) { en.gw.HearStalls(en.ts.Now(), late, st.Stalls) }
+	return func(late time.Duration, st feed.Stalls) { en.gw.HearStalls(en.ts.Now(), late, st.Stalls, st.Forecasts) }
 }
 
 // reportStalls reports stalled backend servers to the control instances until the context
@@ -58,6 +58,7 @@
 		vm.WriteCounterUint64(wr, "balsamwinch_stalls_reported_total", co.Reported)
 		vm.WriteCounterUint64(wr, "balsamwinch_stalls_heard_total", co.Heard)
 		vm.WriteCounterUint64(wr, "balsamwinch_stalls_avoided_total", co.Avoided)
+		vm.WriteCounterUint64(wr, "balsamwinch_stall_forecasts_contradicted_total", co.Quick)
 		vm.WriteCounterUint64(wr, "balsamwinch_stall_checks_ignored_total", co.Ignored)
 	}
 }
@@ -65,8 +66,11 @@
 // writeStallShareMetrics writes what a control instance received and published.
 func writeStallShareMetrics(pu *feed.Publisher) MetricsWriter {
 	return func(wr io.Writer) {
-		heard, published := pu.StallCounts()
-		vm.WriteCounterUint64(wr, "balsamwinch_stall_observations_total", heard)
-		vm.WriteCounterUint64(wr, "balsamwinch_stalls_published_total", published)
+		co := pu.StallCounts()
+		vm.WriteCounterUint64(wr, "balsamwinch_stall_observations_total", co.Heard)
+		vm.WriteCounterUint64(wr, "balsamwinch_stalls_published_total", co.Published)
+		vm.WriteCounterUint64(wr, "balsamwinch_stall_forecasts_made_total", co.Forecasts.Made)
+		vm.WriteCounterUint64(wr, `balsamwinch_stall_forecasts_judged_total{result="right"}`, co.Forecasts.Right)
+		vm.WriteCounterUint64(wr, `balsamwinch_stall_forecasts_judged_total{result="wrong"}`, co.Forecasts.Wrong)
 	}
 }
