gateway, scatter: the last half of the retry budget is for parts that decide

A query that may miss parts and has the others spent budget on hedges for the missing ones while another query of the service failed without a hedge. Where stalls are shared, such a hedge is made only while at least half of the budget of the service is unused. It is not left out altogether: the query would wait until shortly before the target latency and be partial, and at usual load the budget is far from spent.

go test -race ./gateway -run 'Hedge|Budget|Stall' and go test ./scatter pass.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -150,7 +150,7 @@
 	ex.dequeue(sa.Shard)
 	var chargedAt time.Time
 	if ex.needsBudget(sa) {
-		if !sv.bu.Spend(now, service) {
+		if !ex.spend(now, sa, service) {
 			sv.re.Done(now, pk, replica.Report{Outcome: replica.Canceled})
 			ex.recordDenied(service)
 			ex.qu.AttemptDeferred(now, sa.Shard, scatter.CauseBudget, now.Add(budgetRetryDelay))
--- a/gateway/stalls.go
+++ b/gateway/stalls.go
@@ -88,8 +88,7 @@
 	}
 }
 
-// hedgeStalled makes the hedges due whose server is stalled while another one is not, if
-// the query needs their part.
+// hedgeStalled makes the hedges due whose server is stalled while another one is not.
 func (ex *executor) hedgeStalled(now time.Time) {
 	if !ex.ca.repeatable() {
 		return
--- a/scatter/hedge.go
+++ b/scatter/hedge.go
@@ -2,11 +2,13 @@
 
 import "time"
 
-// MayHedge reports whether a shard has exactly one attempt in flight, which may be hedged,
-// and the answer still lacks parts.
+// HasMinParts reports whether enough parts for an answer are in. The others are optional.
+func (qu *Query) HasMinParts() bool { return qu.numParts >= qu.pl.MinParts }
+
+// MayHedge reports whether a shard has exactly one attempt in flight and it may be hedged.
 func (qu *Query) MayHedge(index int) bool {
 	sh := &qu.shards[index]
-	return qu.state == Running && qu.numParts < qu.pl.MinParts && !sh.hasPart && sh.inFlight == 1 && qu.mayAttempt(sh)
+	return qu.state == Running && !sh.hasPart && sh.inFlight == 1 && qu.mayAttempt(sh)
 }
 
 // HedgeNow makes the hedge of a shard due at once, because the backend server of its attempt
--- a/scatter/scatter_test.go
+++ b/scatter/scatter_test.go
@@ -367,3 +367,21 @@
 		qt.Assert(t, qu.State(), qt.Equals, want, qt.Commentf("%v", ca))
 	}
 }
+
+// Guards against a hedge beyond the allowed attempts, of a part that is in, or of a request
+// that may run only once, when its server is known to be stalled.
+func TestHedgeNow(t *testing.T) {
+	qu := newStartedQuery(t, plan(3, 2))
+	qu.AttemptEnded(at(5), 0, OutcomePart)
+	qu.HedgeNow(at(6), 0)
+	qu.HedgeNow(at(6), 1)
+	qt.Assert(t, qu.Next(at(6), nil), qt.DeepEquals, []Attempt{{1, Hedge}})
+	qu.AttemptStarted(1, at(60))
+	qu.HedgeNow(at(7), 1)
+	qt.Assert(t, qu.Next(at(7), nil), qt.HasLen, 0)
+	pl := plan(2, 2)
+	pl.Repeatable = false
+	once := newStartedQuery(t, pl)
+	once.HedgeNow(at(6), 1)
+	qt.Assert(t, once.Next(at(6), nil), qt.HasLen, 0)
+}
