feed, stall: bound what entry instances send and receive about stalls

Both control instances that get the reports published, so that each entry instance got news and forecasts twice, and their number grew with that of the backend servers without a bound: 6,900 servers at 41 bytes a forecast every 6 s are 47 KB a second.

Now the second control instance, which the report names as such, evaluates and publishes nothing until it gets reports as the first one. News are limited to 48 a second, forecasts to 48 a second (of more than 288 servers each is repeated less often; they hold for a minute), and the observations of an entry instance to 20 a second.

--- a/feed/stalls.go
+++ b/feed/stalls.go
@@ -22,6 +22,13 @@
 	// time from which the process is assumed to have stood still in between.
 	stallUpdateInterval = 250 * time.Millisecond
 	stallGap            = time.Second
+	// newsRate and newsBurst bound the news sent to each entry instance, 31 bytes each, to
+	// 1.5 KB a second. Most stalls are forecast, and there are no news of these.
+	newsRate  = 48
+	newsBurst = 24
+	// primarySpan is how long a control instance publishes news and forecasts after the last
+	// report that was sent to it as the first of two.
+	primarySpan = 10 * time.Second
 	// maxObservations bounds the observations taken from one message.
 	maxObservations = 256
 	// Limits for log lines about stalls. A tier has dozens of them a second.
@@ -33,6 +40,9 @@
 // servers.
 type StallReport struct {
 	Observations []stall.Observation `cbor:"1,keyasint"`
+	// Secondary is set in the report to the second of two control instances. It evaluates the
+	// reports, so that it knows all when the first one is lost, and publishes nothing.
+	Secondary bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
@@ -58,13 +68,15 @@
 	updatedAt time.Duration
 	flushedAt time.Duration
 	scheduled bool
+	primaryAt time.Duration // time of the last report that wasn't Secondary
+	news      *rate.Limiter
 	ll        *limitedLogger
 	heard     atomic.Uint64 // observations
 	sent      atomic.Uint64 // news, counted once for all entry instances
 }
 
 func newStallShare(now time.Time, lg *zap.Logger) *stallShare {
-	return &stallShare{tr: stall.NewTracker(), start: now, ll: newStallLogger(lg)}
+	return &stallShare{tr: stall.NewTracker(), start: now, primaryAt: -primarySpan, news: rate.NewLimiter(newsRate, newsBurst), ll: newStallLogger(lg)}
 }
 
 func newStallLogger(lg *zap.Logger) *limitedLogger {
@@ -110,6 +122,9 @@
 	at := now.Sub(ss.start)
 	obs := sr.Observations[:min(len(sr.Observations), maxObservations)]
 	ss.heard.Add(uint64(len(obs)))
+	if !sr.Secondary {
+		ss.primaryAt = at
+	}
 	ss.tr.Add(at, obs)
 	if !ss.tr.HasNews() || ss.scheduled {
 		return
@@ -131,9 +146,15 @@
 	ss := pu.stalls
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	at := pu.ts.Now().Sub(ss.start)
+	now := pu.ts.Now()
+	at := now.Sub(ss.start)
 	ss.scheduled, ss.flushedAt = false, at
-	pu.publishStalls(at, Stalls{Stalls: ss.tr.TakeNews(at)})
+	sts := ss.tr.TakeNews(at)
+	count := 0
+	for count < len(sts) && at-ss.primaryAt < primarySpan && ss.news.AllowN(now, 1) {
+		count++
+	}
+	pu.publishStalls(at, Stalls{Stalls: sts[:count]})
 }
 
 // publishStalls sends a message to the entry instances that understand it. The lock of the
@@ -175,7 +196,9 @@
 			ss.ll.info(now, "stall-forecast-dropped", append(fields, zap.String("Reason", ch.Reason))...)
 		}
 	}
-	pu.publishStalls(at, Stalls{Forecasts: ss.tr.TakeForecasts(at)})
+	if at-ss.primaryAt < primarySpan {
+		pu.publishStalls(at, Stalls{Forecasts: ss.tr.TakeForecasts(at)})
+	}
 }
 
 // stallSource is what a subscriber knows of a control instance's messages about stalls.
@@ -210,7 +233,7 @@
 	for _, co := range su.collectorLinks() {
 		for so, other := range su.conns {
 			if other == co && Features(so.stalls.features.Load()).Has(FeatureStalls) {
-				_ = co.Send(StallReport{Observations: obs}) // Reading from the link reports its end.
+				_ = co.Send(StallReport{Observations: obs, Secondary: count > 0}) // Reading from the link reports its end.
 				count++
 			}
 		}
--- a/stall/forecast.go
+++ b/stall/forecast.go
@@ -34,9 +34,11 @@
 	// nearMargin is how far outside of the forecast a stall may be and still confirm it.
 	nearMargin = 50 * time.Millisecond
 	// resendInterval is the time after which a forecast is sent again, for entry instances
-	// that have not heard it. maxForecasts bounds the forecasts in one message.
+	// that have not heard it. maxForecasts bounds the forecasts in one message: with four
+	// messages a second and 41 bytes for each forecast they take at most 2 KB a second. Of
+	// more than 288 servers each is repeated less often.
 	resendInterval = 6 * time.Second
-	maxForecasts   = 128
+	maxForecasts   = 12
 	// edgeMargin is how far a stall may exceed the forecast one without moving it, and
 	// maxMove bounds how far one stall moves the forecast.
 	edgeMargin = 10 * time.Millisecond
@@ -51,7 +53,8 @@
 	numIrregular         int
 	confirmedAt          time.Duration
 	sentAt               time.Duration
-	dirty                bool // has changed since sentAt
+	dirty                bool          // is new, or has changed much, since sentAt
+	moved                time.Duration // by how much since sentAt
 }
 
 // covers reports whether an interval overlaps the forecast stall.
@@ -142,7 +145,10 @@
 		return 0
 	}
 	fc.next += move
-	fc.dirty = true
+	fc.moved += move
+	if fc.moved >= edgeMargin/2 || fc.moved <= -edgeMargin/2 {
+		fc.dirty = true
+	}
 	return move
 }
 
--- a/stall/group.go
+++ b/stall/group.go
@@ -241,7 +241,7 @@
 		if len(out) >= maxForecasts {
 			break
 		}
-		fc.dirty, fc.sentAt = false, at
+		fc.dirty, fc.moved, fc.sentAt = false, 0, at
 		next := fc.next
 		for next < at {
 			next += se.period
--- a/stall/outlook.go
+++ b/stall/outlook.go
@@ -12,8 +12,8 @@
 const answerMargin = 20 * time.Millisecond
 
 // forecastTTL is how long a forecast is used after it was last heard. Control instances
-// repeat it every 6 s.
-const forecastTTL = 20 * time.Second
+// repeat it every 6 s, less often where there are many servers.
+const forecastTTL = time.Minute
 
 // Outlook is what an entry instance knows of the stalls of one backend server. The zero
 // value knows of none.
--- a/stall/reporter.go
+++ b/stall/reporter.go
@@ -6,10 +6,17 @@
 // meets a few stalled servers at a time.
 const maxReported = 64
 
+// reportRate bounds the observations that are sent in a second in the long run, and
+// maxReported those at once: an observation has 50 bytes and goes to two control instances.
+// At usual load an instance sends one every second or two.
+const reportRate = 20
+
 // Reporter collects the observations of an entry instance until they are sent. It is not
 // safe for concurrent use.
 type Reporter struct {
 	waiting []waiting
+	allowed float64 // observations that may be added at the time addedAt
+	addedAt time.Duration
 }
 
 // waiting is an observation that has not been sent. Its ages are computed when it is sent.
@@ -19,7 +26,7 @@
 }
 
 // NewReporter returns a Reporter without observations.
-func NewReporter() *Reporter { return &Reporter{} }
+func NewReporter() *Reporter { return &Reporter{allowed: maxReported} }
 
 // Stuck records a request in flight that is stuck.
 func (rp *Reporter) Stuck(at time.Duration, se Server, sent time.Duration) {
@@ -40,7 +47,10 @@
 }
 
 func (rp *Reporter) add(wa waiting) {
-	if len(rp.waiting) < maxReported {
+	rp.allowed = min(maxReported, rp.allowed+reportRate*(wa.seen-rp.addedAt).Seconds())
+	rp.addedAt = wa.seen
+	if rp.allowed >= 1 && len(rp.waiting) < maxReported {
+		rp.allowed--
 		rp.waiting = append(rp.waiting, wa)
 	}
 }
--- a/stall/tracker_test.go
+++ b/stall/tracker_test.go
@@ -89,6 +89,12 @@
 		rp.Stuck(300*ms, Server{ID: "a", Born: 1}, 270*ms)
 	}
 	c.Assert(rp.Len(), qt.Equals, maxReported)
+	// No more than some are reported in a second, whatever happens.
+	rp.Take(301 * ms)
+	for at := 301 * ms; at < 1301*ms; at += ms {
+		rp.Stuck(at, Server{ID: "a", Born: 1}, at-30*ms)
+	}
+	c.Assert(rp.Len() <= reportRate, qt.IsTrue)
 	rp.Drop()
 	c.Assert(rp.Take(301*ms), qt.HasLen, 0)
 }
