stall, feed: drop what arrives around a pause of a control instance

A control instance that pauses for some hundred milliseconds reads observations late, and their ages are too small by the pause. They are now dropped if the ticks of every 50 ms show one. A forecast that ends with a new start of its server is logged as such. Withdrawn forecasts that wait at the second control instance are bounded to 48, since there nobody takes them. Work of seconds no longer has a server avoided for all of its period.

--- a/feed/stalls.go
+++ b/feed/stalls.go
@@ -22,6 +22,11 @@
 	// time from which the process is assumed to have stood still in between.
 	stallUpdateInterval = 250 * time.Millisecond
 	stallGap            = time.Second
+	// stallTickGap is the time between two ticks of outlierInterval from which the process is
+	// assumed to have paused. What arrives then, and for stallTickTTL after it, has waited for
+	// an unknown time and is dropped.
+	stallTickGap = 150 * time.Millisecond
+	stallTickTTL = 50 * time.Millisecond
 	// newsRate and newsBurst bound the news sent to each entry instance, 31 bytes each, to
 	// 1.5 KB a second. Most stalls are forecast, and there are no news of these.
 	newsRate  = 48
@@ -64,7 +69,9 @@
 type stallShare struct {
 	mu        sync.Mutex
 	tr        *stall.Tracker
-	start     time.Time // times of the tracker are since then
+	start     time.Time     // times of the tracker are since then
+	tickAt    time.Duration // time of the last tick
+	pausedAt  time.Duration // time of the last tick that came late
 	updatedAt time.Duration
 	flushedAt time.Duration
 	scheduled bool
@@ -76,7 +83,7 @@
 }
 
 func newStallShare(now time.Time, lg *zap.Logger) *stallShare {
-	return &stallShare{tr: stall.NewTracker(), start: now, primaryAt: -primarySpan, news: rate.NewLimiter(newsRate, newsBurst), ll: newStallLogger(lg)}
+	return &stallShare{tr: stall.NewTracker(), start: now, primaryAt: -primarySpan, pausedAt: -stallTickTTL, news: rate.NewLimiter(newsRate, newsBurst), ll: newStallLogger(lg)}
 }
 
 func newStallLogger(lg *zap.Logger) *limitedLogger {
@@ -122,6 +129,9 @@
 	at := now.Sub(ss.start)
 	obs := sr.Observations[:min(len(sr.Observations), maxObservations)]
 	ss.heard.Add(uint64(len(obs)))
+	if at-ss.tickAt >= stallTickGap || at-ss.pausedAt < stallTickTTL {
+		return
+	}
 	if !sr.Secondary {
 		ss.primaryAt = at
 	}
@@ -180,6 +190,10 @@
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	at := now.Sub(ss.start)
+	if at-ss.tickAt >= stallTickGap {
+		ss.pausedAt = at
+	}
+	ss.tickAt = at
 	if at-ss.updatedAt < stallUpdateInterval {
 		return
 	}
--- a/feed/stalls_test.go
+++ b/feed/stalls_test.go
@@ -159,7 +159,13 @@
 		for id, fc := range two.forecasts() {
 			c.Assert(fc.PeriodMicros > 2990000 && fc.PeriodMicros < 3010000, qt.IsTrue, qt.Commentf("%s %+v", id, fc))
 		}
+		// After a short pause what has waited is dropped, after a long one everything.
 		pu := cos[0].pu
+		pu.updateStalls(cl.ts.Now().Add(stallTickGap + outlierInterval))
+		before := pu.StallCounts().Published
+		one.su.SendStalls(stuck)
+		cl.advance(10 * time.Millisecond)
+		c.Assert(pu.StallCounts().Published, qt.Equals, before)
 		pu.updateStalls(cl.ts.Now().Add(2 * stallGap))
 		c.Assert(pu.stalls.tr.TakeForecasts(time.Hour), qt.HasLen, 0)
 	})
--- a/stall/forecast.go
+++ b/stall/forecast.go
@@ -84,6 +84,7 @@
 	reasonIrregular    = "stalls at other times"
 	reasonUnconfirmed  = "no stall for many periods"
 	reasonTrouble      = "slow for longer than a stall"
+	reasonRestarted    = "the server started again"
 	reasonPeriod       = "most forecasts of this kind failed"
 )
 
--- a/stall/forecast_test.go
+++ b/stall/forecast_test.go
@@ -85,6 +85,9 @@
 		c.Check(until, qt.Equals, tt.want, qt.Commentf("%v", tt.at))
 		c.Check(ok && forecast, qt.Equals, tt.want > 0)
 	}
+	// Long work doesn't make a server be avoided all the time.
+	_, _, ok := ou.Until(7000*ms, 10*time.Second)
+	c.Assert(ok, qt.IsFalse)
 	c.Assert(ou.Contradicts(6050*ms, 6030*ms), qt.IsTrue)
 	c.Assert(ou.Contradicts(6050*ms, 5995*ms), qt.IsFalse) // The stall may have begun later.
 	c.Assert(ou.Contradicts(6100*ms, 6030*ms), qt.IsFalse) // It may have ended sooner.
--- a/stall/group.go
+++ b/stall/group.go
@@ -22,8 +22,10 @@
 	// the period, and maxAdjustment bounds one adjustment.
 	judgedPerAdjustment = 100
 	maxAdjustment       = 5 * time.Millisecond
-	// maxChanges bounds the changes that wait for TakeChanges.
-	maxChanges = 64
+	// maxChanges bounds the changes that wait for TakeChanges, and maxWithdrawn the withdrawn
+	// forecasts that wait for TakeForecasts. Others expire at the entry instances.
+	maxChanges   = 64
+	maxWithdrawn = 48
 )
 
 // group is the state of servers that share a period.
@@ -202,9 +204,10 @@
 // drop drops the forecast of a server and what it was made from.
 func (tr *Tracker) drop(se *server, reason string) {
 	tr.addChange(Change{ID: se.id, Period: se.period, Length: se.forecast.length, Reason: reason})
-	if len(tr.withdrawn) < maxServers {
-		tr.withdrawn = append(tr.withdrawn, Forecast{ID: se.id, Born: se.born})
+	if len(tr.withdrawn) >= maxWithdrawn {
+		tr.withdrawn = tr.withdrawn[1:]
 	}
+	tr.withdrawn = append(tr.withdrawn, Forecast{ID: se.id, Born: se.born})
 	se.forecast, se.stalls = nil, nil
 }
 
--- a/stall/model_test.go
+++ b/stall/model_test.go
@@ -277,6 +277,7 @@
 	}
 	mo.run(23 * time.Second)
 	c.Check(mo.tr.servers["s5"].forecast, qt.IsNil)
+	c.Check(mo.reasons[reasonRestarted], qt.Equals, 1)
 	mo.run(33 * time.Second)
 	_, right := mo.numForecasts()
 	c.Check(mo.tr.servers["s5"].forecast, qt.Not(qt.IsNil))
--- a/stall/outlook.go
+++ b/stall/outlook.go
@@ -11,6 +11,10 @@
 // time of the first stuck request, which may precede the real one by the time of its work.
 const answerMargin = 20 * time.Millisecond
 
+// maxAhead bounds how long before a forecast stall a server is avoided. Work that takes longer
+// would have to wait for the stall at some server anyway, which matters less to it.
+const maxAhead = 100 * time.Millisecond
+
 // forecastTTL is how long a forecast is used after it was last heard. Control instances
 // repeat it every 6 s, less often where there are many servers.
 const forecastTTL = time.Minute
@@ -78,7 +82,7 @@
 	if at+minWait < ou.until {
 		return ou.until, false, true
 	}
-	begin, ok := ou.forecastBefore(at, at+work+ou.spread)
+	begin, ok := ou.forecastBefore(at, at+min(work, maxAhead)+ou.spread)
 	if until = begin + ou.length + ou.spread; !ok || at+minWait >= until {
 		return 0, false, false
 	}
--- a/stall/tracker.go
+++ b/stall/tracker.go
@@ -97,6 +97,9 @@
 	case se != nil && ob.Born < se.born:
 		return nil
 	case se == nil || ob.Born > se.born:
+		if se != nil && se.forecast != nil {
+			tr.drop(se, reasonRestarted)
+		}
 		se = &server{id: ob.ID, born: ob.Born, group: ob.Group}
 		if _, ok := tr.groups[ob.Group]; !ok && len(tr.groups) >= maxGroups {
 			se.group = allServers
