--- a/feed/message.go
+++ b/feed/message.go
@@ -55,7 +55,7 @@
 	FeatureStalls                        // StallReport, Stalls
 )
 
-// supportedFeatures are the features of this release.
+// supportedFeatures are the features of this release that no setting turns off.
 const supportedFeatures = FeatureQuotas
 
 // Has reports whether all of the given features are included.
@@ -223,5 +223,20 @@
 
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, StateReport{}, Fetch{}, Configuration{}, Snapshot{}, Update{}, Observations{}, Findings{}, Invite{}, LoadReport{}, QuotaRequest{}, QuotaGrant{}}
+	return []peer.Message{
+		Subscribe{},
+		StateReport{},
+		Fetch{},
+		Configuration{},
+		Snapshot{},
+		Update{},
+		Observations{},
+		Findings{},
+		Invite{},
+		LoadReport{},
+		QuotaRequest{},
+		QuotaGrant{},
+		StallReport{},
+		Stalls{},
+	}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -50,6 +50,8 @@
 	// GrantQuotas answers an entry instance's request for tokens. It is called concurrently
 	// and must not block. If it is nil, this instance owns no quotas.
 	GrantQuotas func(entry string, rq QuotaRequest) QuotaGrant
+	// SharedStalls is set if stalls of backend servers are evaluated and published.
+	SharedStalls bool
 }
 
 // Publisher sends changes to the entry instances that have a link to this control
@@ -82,6 +84,7 @@
 	configurations configurationStore
 	detector       lockedDetector
 	qa             *quarantine.Tracker
+	stalls         *stallShare // nil if stalls are not shared
 }
 
 // subscriber is one link of an entry instance or of another control instance.
@@ -90,6 +93,7 @@
 	en          Entry
 	joinNumber  uint64
 	fromControl bool // the subscriber is a control instance
+	features    Features
 }
 
 // encodedSnapshot is an encoded snapshot and the time at which it was made.
@@ -128,6 +132,9 @@
 	if pu.qa == nil {
 		pu.qa = quarantine.New()
 	}
+	if cf.SharedStalls {
+		pu.stalls = newStallShare(ts.Now(), lg)
+	}
 	pu.readyEntries.Store(&[]Entry{})
 	return pu
 }
@@ -155,6 +162,7 @@
 			pu.expireServers(pu.ts.Now())
 		case <-outlierTick.C:
 			pu.publishFindings(pu.ts.Now())
+			pu.updateStalls(pu.ts.Now())
 		}
 	}
 }
@@ -222,6 +230,8 @@
 			pu.AddSuspects(sb.en.Name, me.Suspects)
 		case QuotaRequest:
 			pu.answerQuotas(sb, me)
+		case StallReport:
+			pu.addStalls(sb, me)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -235,7 +245,7 @@
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	pu.numJoined++
-	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, en: Entry{
+	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, features: first.Features, en: Entry{
 		Name: first.Name, DataCentre: first.DataCentre, Address: first.Address, State: first.State,
 	}}
 	pu.subscribers[sb] = struct{}{}
@@ -276,7 +286,7 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
-		Features: supportedFeatures,
+		Features: supportedFeatures | pu.stallFeature(),
 	}
 }
 
@@ -325,8 +335,16 @@
 
 // broadcast sends a message to all subscribers. It is encoded once.
 func (pu *Publisher) broadcast(ms peer.Message) {
+	pu.broadcastTo(ms, func(*subscriber) bool { return true })
+}
+
+// broadcastTo sends a message to the subscribers for which the condition holds.
+func (pu *Publisher) broadcastTo(ms peer.Message, condition func(*subscriber) bool) {
 	var pa *link.PreparedMessage
 	for sb := range pu.subscribers {
+		if !condition(sb) {
+			continue
+		}
 		if pa == nil {
 			packed, err := sb.co.Prepare(ms)
 			if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 	// Quotas admits the requests of customers with a quota; nil means that quotas are not
 	// enforced.
 	Quotas Quotas
+	// SharedStalls is set if entry instances tell each other of stalled backend servers,
+	// where the configuration has a route over many shards and there are many of them.
+	SharedStalls bool
 }
 
 // Server answers the requests of callers. It is safe for concurrent use.
@@ -88,6 +91,7 @@
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
 	metrics          serverMetrics
 	customers        customerMetrics
+	stalls           stallWatch
 	serversChangedAt atomic.Int64 // when the set of backend servers last changed, in nanoseconds since started
 
 	mu            sync.Mutex // guards the fields below
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -51,6 +51,8 @@
 	attempts []attemptRecord   // all attempts of the request
 	results  chan attemptResult
 	waiting  waitState
+
+	stallNews chan struct{} // nil unless stalls are shared; see stalls.go
 }
 
 // execute runs a query over one shard for each of the services and returns its executor,
@@ -85,6 +87,7 @@
 	ctx, cancel := upstream.WithCancel(context.WithoutCancel(caller))
 	defer cancel(upstream.ErrSuperseded)
 	defer ex.leaveQueue()
+	defer ex.watchStalls()()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var attempts []scatter.Attempt
@@ -105,6 +108,8 @@
 			ex.drainResults()
 		case sh := <-ex.waiting.wakeups:
 			ex.capacityFreed(sh)
+		case <-ex.stallNews:
+			ex.hedgeStalled(ts.Now())
 		case <-timer.C:
 		case <-caller.Done():
 			// The caller has left: its requests at the backend servers are canceled, too.
@@ -151,7 +156,7 @@
 	ex.dequeue(sa.Shard)
 	var chargedAt time.Time
 	if ex.needsBudget(sa) {
-		if !sv.bu.Spend(now, service) {
+		if !ex.spend(now, sa, service) {
 			sv.re.Done(now, pk, replica.Report{Outcome: replica.Canceled})
 			ex.recordDenied(service)
 			ex.qu.AttemptDeferred(now, sa.Shard, scatter.CauseBudget, now.Add(budgetRetryDelay))
--- a/tier/control.go
+++ b/tier/control.go
@@ -51,7 +51,8 @@
 	qo := newQuotaOwner(se.Quota.limits(), func() fleet.Standing { return co.nd.Standing() }, func() []feed.Entry { return co.pu.ReadyEntries() }, ts, lg)
 	co.pu = feed.NewPublisher(feed.PublisherConfig{
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
-		GrantQuotas: qo.grant,
+		GrantQuotas:  qo.grant,
+		SharedStalls: se.Stalls.Shared,
 	}, ts, lg)
 	co.ro = newRosters(di.NewParser(), co.pu, ts, lg)
 	co.ro.tableParsed = qo.setTable
@@ -73,7 +74,7 @@
 	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(ia)); err != nil {
 		return err
 	}
-	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), ia.set.WritePrometheus, qo.mt.set.WritePrometheus)...)
+	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), writeStallShareMetrics(co.pu), ia.set.WritePrometheus, qo.mt.set.WritePrometheus)...)
 	sp.Add(service{"links", func(ctx context.Context) error { return link.Serve(ctx, li, lc, co.handle) }})
 	sp.Add(service{"fleet", co.nd.Serve})
 	sp.Add(service{"feed", co.pu.Serve})
