stall, replica: work that takes long by itself is no stall

With latencies that vary much, such as exponential ones, 16 % of the requests take longer than 2.5 times the median, and each of them would have had a healthy server avoided by all instances for 150 ms. A request now counts as stuck only after two hedge delays as well (2 % of exponential latencies). A series of one request that was stuck for less than 40 ms is no stall, and where such series prevail, news need two stuck requests.

go test -race ./stall passes, of ./replica the tests on stalls, choices and hedges.

--- a/replica/stalls.go
+++ b/replica/stalls.go
@@ -23,6 +23,11 @@
 	minStuckBound    = 3
 )
 
+// stuckHedgeDelays is how many hedge delays a request is in flight at least before it counts
+// as stuck. It matters to classes whose latencies vary much: with exponential ones 16 % of the
+// requests take longer than stall.StuckAfter says, and 2 % longer than this.
+const stuckHedgeDelays = 2
+
 // forecastProbeFraction is the fraction of requests that are sent to a server although a
 // stall is forecast. A server gets some seven requests in the time of one, so that one in
 // four forecast stalls is confirmed or contradicted.
@@ -164,7 +169,8 @@
 		return 0, false
 	}
 	expected := float64(fl.expected) * (1 + se.freshness(at)*float64(se.waiting)/se.capacity())
-	return max(fl.start, steadyAt) + stall.StuckAfter(time.Duration(expected)), true
+	wait := max(stall.StuckAfter(time.Duration(expected)), stuckHedgeDelays*fl.stats.hedgeDelay(at))
+	return max(fl.start, steadyAt) + wait, true
 }
 
 // nextStuck returns when the next request in flight to the server will count as stuck, and
--- a/stall/tracker.go
+++ b/stall/tracker.go
@@ -18,6 +18,16 @@
 	// minLeft is the time for which a stall is announced again that lasts longer than
 	// expected.
 	minLeft = 40 * time.Millisecond
+	// minStuck is the time for which a request must be stuck, and sameRequest the difference of
+	// send times from which two requests are different ones. A series of one shorter request
+	// may be work that took long by itself, and is no stall.
+	minStuck    = 40 * time.Millisecond
+	sameRequest = 4 * time.Millisecond
+	// minRealFraction is the fraction of the series that were stalls from which one stuck
+	// request is enough for news; below it two are needed. realGain is the weight of one
+	// series in that fraction.
+	minRealFraction = 0.5
+	realGain        = 0.03
 	// maxServers bounds the servers that are tracked, maxStalls the stalls recorded of one,
 	// maxNews the news that wait to be sent.
 	maxServers = 16384
@@ -36,6 +46,7 @@
 	withdrawn []Forecast // that wait to be sent
 	changes   []Change
 	counts    Counts
+	real      float64 // fraction of the last series of stuck requests that were stalls
 	swept     time.Duration
 }
 
@@ -58,8 +69,13 @@
 type interval struct {
 	start, end time.Duration
 	answered   bool // end is the time of an answer
+	lastSent   time.Duration
+	requests   int // requests that were stuck
 }
 
+// isStall reports whether the requests show a stall, and not just work that took long.
+func (in interval) isStall() bool { return in.requests > 1 || in.end-in.start >= minStuck }
+
 // announced is news that waits to be sent.
 type announced struct {
 	id           string
@@ -70,7 +86,7 @@
 
 // NewTracker returns a Tracker without observations.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]*server), groups: make(map[uint32]*group)}
+	return &Tracker{real: 1, servers: make(map[string]*server), groups: make(map[uint32]*group)}
 }
 
 // Add adds observations that arrived now. Those of an earlier start of a server, and those
@@ -82,7 +98,9 @@
 			continue
 		}
 		if se := tr.server(at, ob); se != nil {
-			tr.observe(at, ob, se, interval{start: at - age, end: at - end, answered: ob.Kind == Answered})
+			tr.observe(at, ob, se, interval{
+				start: at - age, end: at - end, answered: ob.Kind == Answered, lastSent: at - age, requests: 1,
+			})
 		}
 	}
 }
@@ -122,12 +140,15 @@
 	cu := &se.current
 	switch {
 	case cu.end == 0 || in.start > cu.end+mergeGap:
-		se.record()
+		tr.record(se)
 		*cu, se.recorded, se.announced = in, false, 0
 	case in.end < cu.start-mergeGap:
 		return // A late observation of an earlier stall.
 	default:
-		cu.start = min(cu.start, in.start)
+		if in.start > cu.lastSent+sameRequest || in.start < cu.start-sameRequest {
+			cu.requests++
+		}
+		cu.start, cu.lastSent = min(cu.start, in.start), max(cu.lastSent, in.start)
 		if in.end > cu.end {
 			cu.end, cu.answered = in.end, in.answered
 		}
@@ -139,17 +160,22 @@
 		se.recorded = true // It is not recorded later, either.
 		return
 	}
-	if ob.Kind == Stuck || ob.Kind == Abandoned && at-in.end < minLeft {
+	if (tr.real >= minRealFraction || cu.requests > 1) && (ob.Kind == Stuck || ob.Kind == Abandoned && at-in.end < minLeft) {
 		tr.announce(at, ob.ID, se)
 	}
 }
 
 // record appends the series of stuck requests that has ended to the recorded stalls.
-func (se *server) record() {
+func (tr *Tracker) record(se *server) {
 	if se.current.end == 0 || se.recorded {
 		return
 	}
 	se.recorded = true
+	if !se.current.isStall() {
+		tr.real -= realGain * tr.real
+		return
+	}
+	tr.real += realGain * (1 - tr.real)
 	if fc := se.forecast; fc != nil {
 		if !fc.near(se.current) {
 			fc.numIrregular++
@@ -214,7 +240,7 @@
 func (tr *Tracker) Update(at time.Duration) {
 	for _, se := range tr.servers {
 		if at-se.current.end > mergeGap {
-			se.record()
+			tr.record(se)
 		}
 	}
 	tr.updateForecasts(at)
--- a/stall/tracker_test.go
+++ b/stall/tracker_test.go
@@ -136,3 +136,21 @@
 	}
 	c.Assert(la.Of(5*time.Second+10*time.Minute+150*ms+60*ms, 10*time.Minute) > MaxNewsAge, qt.IsTrue)
 }
+
+// Guards against servers that are avoided for single requests whose work takes long: where
+// these are the rule, two stuck requests are needed.
+func TestLongWorkIsNoStall(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	at := time.Second
+	for range 40 {
+		at += time.Second
+		tr.Add(at, []Observation{{ID: "a", Kind: Answered, AgeMillis: 28}})
+		tr.Update(at + 500*ms)
+	}
+	c.Assert(tr.servers["a"].stalls, qt.HasLen, 0)
+	tr.Add(at+900*ms, []Observation{stuckAt("a", at+900*ms, at+875*ms)})
+	c.Assert(tr.HasNews(), qt.IsFalse)
+	tr.Add(at+910*ms, []Observation{stuckAt("a", at+910*ms, at+884*ms)})
+	c.Assert(tr.HasNews(), qt.IsTrue)
+}
