backend: count a closed connection until the server confirms the close, for 1 s

Cause: an entry instance counted a closed connection for 50 ms at most. The fault is in the product: regular pauses of 120 to 200 ms suffice.

Change: the default of CloseTimeout is 1 s, as of a dial. Only a request that finds its whole share taken by closing connections waits longer than before. TestRetryWaitsForClosingSilentConnection sets the 50 ms that it had.

--- a/backend/client.go
+++ b/backend/client.go
@@ -45,7 +45,9 @@
 	// so that it can be reused afterwards; default 1 s.
 	LingerTimeout time.Duration
 	// How long a closed connection still counts as open at most, until the
-	// backend server confirms the close; default 50 ms.
+	// backend server confirms the close; default 1 s. A server that stands still
+	// confirms late and would refuse a connection in place of the closed one;
+	// regular pauses last up to 200 ms.
 	CloseTimeout time.Duration
 	// How long to wait for the reply to a Cancel before it is sent again on a new
 	// connection; default 100 ms.
@@ -79,7 +81,7 @@
 		cf.LingerTimeout = time.Second
 	}
 	if cf.CloseTimeout == 0 {
-		cf.CloseTimeout = 50 * time.Millisecond
+		cf.CloseTimeout = time.Second
 	}
 	if cf.CancelTimeout == 0 {
 		cf.CancelTimeout = 100 * time.Millisecond
--- a/backend/leaf_test.go
+++ b/backend/leaf_test.go
@@ -99,7 +99,7 @@
 	c := qt.New(t)
 	le, ta := startLeaf(c, leaf.Config{ConnectionLimit: 2})
 	ta.MaxConnections = 1
-	cl := newClient(c, backend.ClientConfig{})
+	cl := newClient(c, backend.ClientConfig{CloseTimeout: 50 * time.Millisecond})
 	_, err := cl.Do(context.Background(), ta, request("r1"))
 	c.Assert(err, qt.IsNil)
 	le.SetFaults(leaf.Faults{Silent: true, SilentHeld: true})
