stall: find periods among many false stalls

A period is now taken if more times agree with it than by chance, by seven standard deviations, and a forecast is made if as many starts of a server agree by chance in at most 15 % of cases. Up to 12 stalls at other times no longer end a forecast, since most are false; answers during a forecast stall still do.

TestPeriodIsFoundAmongFalseStalls is new; go test ./stall passes.

--- a/stall/forecast.go
+++ b/stall/forecast.go
@@ -1,6 +1,7 @@
 package stall
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,10 +14,9 @@
 	// phaseTolerance is the deviation up to which two starts of a server agree, given the
 	// period: each may be off by 50 ms.
 	phaseTolerance = 100 * time.Millisecond
-	// minAgreeing is how many starts of a server must agree for a forecast, and
-	// maxCompared how many of the last ones are looked at.
-	minAgreeing = 2
-	maxCompared = 6
+	// maxChance is the probability up to which so many starts of a server may agree by
+	// chance for a forecast.
+	maxChance = 0.15
 	// judgeDelay is how long after the end of a forecast stall it is judged: observations of
 	// it may still be on their way.
 	judgeDelay = 150 * time.Millisecond
@@ -24,10 +24,13 @@
 	// during which a request was answered as usual; maxIrregular is the number of stalls at
 	// other times. With either of them the forecast is dropped.
 	maxContradicted = 2
-	maxIrregular    = 3
+	maxIrregular    = 12
 	// maxUnconfirmed is the number of periods without an observed stall after which a
 	// forecast is dropped. One in four stalls is observed, since requests avoid the server.
 	maxUnconfirmed = 20
+	// fewAgreeing is how many starts say too little about the length of stalls, because the
+	// requests that were stuck may have been given up before the end.
+	fewAgreeing = 3
 	// maxStallAge is the number of periods since its last stall for which a server gets a new
 	// forecast.
 	maxStallAge = 6
@@ -156,10 +159,6 @@
 // newForecast returns a forecast by the recorded stalls of a server, or nil if too few of
 // their starts agree.
 func newForecast(at, period, usual time.Duration, stalls []interval) *forecast {
-	stalls = stalls[max(0, len(stalls)-maxCompared):]
-	if len(stalls) < minAgreeing {
-		return nil
-	}
 	var best []interval
 	for _, anchor := range stalls {
 		var agreeing []interval
@@ -172,7 +171,7 @@
 			best = agreeing
 		}
 	}
-	if len(best) < minAgreeing || float64(len(best)) < minAgreement*float64(len(stalls)) {
+	if chanceOfAgreement(len(stalls), len(best), chanceOf(phaseTolerance, period)) > maxChance {
 		return nil
 	}
 	last := best[len(best)-1]
@@ -185,7 +184,7 @@
 		first, latest, sum = min(first, off), max(latest, off), sum+off
 		longest = max(longest, in.end-in.start)
 	}
-	if len(best) <= minAgreeing {
+	if len(best) <= fewAgreeing {
 		longest = max(longest, usual)
 	}
 	mean := sum / time.Duration(len(best))
@@ -197,6 +196,28 @@
 	return fc
 }
 
+// chanceOfAgreement returns the probability that of some random starts at least the given
+// number agree with one of them, if any other one does with a probability of chance.
+func chanceOfAgreement(starts, agreeing int, chance float64) float64 {
+	if agreeing < 2 {
+		return 1
+	}
+	tail, others := 0.0, starts-1
+	for count := agreeing - 1; count <= others; count++ {
+		tail += binomial(others, count, chance)
+	}
+	return min(1, tail*float64(starts)/float64(agreeing))
+}
+
+// binomial returns the probability of exactly count successes in a number of trials.
+func binomial(trials, count int, chance float64) float64 {
+	out := math.Pow(1-chance, float64(trials-count))
+	for ix := range count {
+		out *= chance * float64(trials-ix) / float64(ix+1)
+	}
+	return out
+}
+
 // usualLength returns the length that three in four of the recorded stalls don't exceed.
 func usualLength(ses []*server) time.Duration {
 	var lengths []time.Duration
--- a/stall/forecast_test.go
+++ b/stall/forecast_test.go
@@ -1,9 +1,11 @@
 package stall
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +39,47 @@
 	}
 }
 
+// Guards against no forecast at all where work that takes long by itself looks like a stall
+// more often than a stall does: each server has as many false stalls at random times as
+// true ones, and a third of the true ones is not seen.
+func TestPeriodIsFoundAmongFalseStalls(t *testing.T) {
+	c := qt.New(t)
+	const period, span = 4500 * ms, 23 * time.Second
+	rn := rand.New(rand.NewPCG(3, 4))
+	var gaps []time.Duration
+	servers := make([][]interval, 108)
+	phases := make([]time.Duration, len(servers))
+	for ix := range servers {
+		phases[ix] = time.Duration(rn.Float64() * float64(period))
+		for at := phases[ix]; at < span; at += period {
+			if rn.Float64() < 0.67 {
+				start := at + time.Duration(rn.Float64()*float64(50*ms))
+				servers[ix] = append(servers[ix], interval{start: start, end: start + 150*ms})
+			}
+			start := time.Duration(rn.Float64() * float64(span))
+			servers[ix] = append(servers[ix], interval{start: start, end: start + 80*ms})
+		}
+		slices.SortFunc(servers[ix], func(a, b interval) int { return cmp.Compare(a.start, b.start) })
+		gaps = gapsOf(gaps, servers[ix])
+	}
+	got, ok := findPeriod(gaps)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(got > period-15*ms && got < period+15*ms, qt.IsTrue, qt.Commentf("%v", got))
+	count, right := 0, 0
+	for ix, stalls := range servers {
+		fc := newForecast(span, got, 150*ms, stalls)
+		if fc == nil {
+			continue
+		}
+		count++
+		if _, off := multipleOf(fc.next-phases[ix], period); off > -100*ms && off < 100*ms {
+			right++
+		}
+	}
+	c.Assert(count >= len(servers)/2, qt.IsTrue, qt.Commentf("%d", count))
+	c.Assert(right*10 >= count*9, qt.IsTrue, qt.Commentf("%d of %d", right, count))
+}
+
 // Guards against one period for servers of two kinds that stall at different intervals. The
 // names of the services of a kind differ by numbers.
 func TestKindsOfServersHaveTheirOwnPeriods(t *testing.T) {
--- a/stall/group.go
+++ b/stall/group.go
@@ -149,12 +149,11 @@
 		gr.searchDelay = minSearchDelay
 		return
 	}
-	if all := tr.group(allServers).period; all > 0 {
-		if count, agreeing := agreement(gaps, all); float64(agreeing) >= minAgreement*float64(count) {
-			return
-		}
+	period, ok := findPeriod(gaps)
+	if all := tr.group(allServers).period; ok && all > 0 && periodScore(gaps, all) >= sameScoreRatio*periodScore(gaps, period) {
+		return
 	}
-	if period, ok := findPeriod(gaps); ok {
+	if ok {
 		gr.period, gr.usual, gr.searchDelay = period, usualLength(ses), minSearchDelay
 		gr.moved, gr.numJudged, gr.dropped, gr.droppedAt = 0, 0, 0, at
 	}
--- a/stall/period.go
+++ b/stall/period.go
@@ -18,12 +18,18 @@
 	// period. Each start varies by up to 50 ms, and the first stuck request may be sent
 	// 20 ms before or 30 ms after it.
 	tolerance = 80 * time.Millisecond
-	// minAgreement is the fraction of the times between starts that must agree. Of a
-	// multiple of the true period half of them do at most.
-	minAgreement = 0.6
-	// minGaps is how many times between starts are needed. With random stalls, ten of 16
-	// agree with some period in less than one of a thousand cases.
-	minGaps = 16
+	// minScore is by how many standard deviations more times must agree with a period than
+	// by chance. Most of what looks like a stall may be none, such as work that takes long by
+	// itself, so only a small part of the times may agree. Some thousand periods are tried,
+	// and random stalls score 4 with the best of them.
+	minScore = 7.0
+	// minGaps is how many times between starts are needed, minAgreeing how many of them must
+	// agree.
+	minGaps     = 16
+	minAgreeing = 10
+	// sameScoreRatio is the ratio of its score to the best one from which another period
+	// counts as agreeing as well.
+	sameScoreRatio = 0.8
 	// maxGaps bounds the times that are compared, which bounds a search to some 3 ms.
 	maxGaps = 300
 	// maxLag is how many stalls of a server may lie between two that are compared.
@@ -43,7 +49,7 @@
 }
 
 // findPeriod returns the period that agrees best with the times between starts of stalls.
-// It returns false if none agrees with most of them.
+// It returns false if no period agrees with clearly more of them than by chance.
 //
 // Every divisor of the true period agrees, too. But the shorter a period, the more times
 // agree with it by chance. So the period is taken whose number of agreeing times exceeds
@@ -53,15 +59,9 @@
 		gaps = gaps[len(gaps)-maxGaps:]
 	}
 	var best time.Duration
-	bestScore := 0.0
+	bestScore := minScore
 	for period := minPeriod; period <= maxPeriod; period += periodStep {
-		count, agreeing := agreement(gaps, period)
-		if count < minGaps || float64(agreeing) < minAgreement*float64(count) {
-			continue
-		}
-		chance := 2 * float64(tolerance) / float64(period)
-		score := (float64(agreeing) - chance*float64(count)) / math.Sqrt(chance*(1-chance)*float64(count))
-		if score > bestScore {
+		if score := periodScore(gaps, period); score > bestScore {
 			best, bestScore = period, score
 		}
 	}
@@ -71,6 +71,23 @@
 	return refine(gaps, refine(gaps, best)), true
 }
 
+// periodScore returns by how many standard deviations more gaps agree with a period than by
+// chance, or 0 if there are too few.
+func periodScore(gaps []time.Duration, period time.Duration) float64 {
+	count, agreeing := agreement(gaps, period)
+	if count < minGaps || agreeing < minAgreeing {
+		return 0
+	}
+	chance := chanceOf(tolerance, period)
+	return (float64(agreeing) - chance*float64(count)) / math.Sqrt(chance*(1-chance)*float64(count))
+}
+
+// chanceOf returns the probability with which a random time is within a deviation of a
+// multiple of the period.
+func chanceOf(deviation, period time.Duration) float64 {
+	return min(0.5, 2*float64(deviation)/float64(period))
+}
+
 // agreement returns how many gaps are short enough to be compared with a period, and how
 // many of them agree with it.
 func agreement(gaps []time.Duration, period time.Duration) (count, agreeing int) {
