gateway, scatter, replica: fail queries whose parts can't come

A query over shards was held until its deadline when a needed part could not come any more. A shard is given up now while all its ready servers fail at least 95 % of the requests of all entry instances and this instance waits before its next try, so that a query is rejected before anything is sent if too few shards are left. A part all of whose allowed attempts have been silent for 300 ms and for four times the expected time, at servers that are slow or failing by the findings of all instances or gone, counts as lost; if it arrives all the same before the query ends, it counts. Otherwise the query waits as before.

--- a/gateway/noserver.go
+++ b/gateway/noserver.go
@@ -80,7 +80,8 @@
 	})
 }
 
-// start gives up the shards without a ready backend server, present or expected. If too few
+// start gives up the shards without a ready backend server, present or expected, and those
+// whose servers are all down. If too few
 // shards are left for an answer, nothing is sent. So only shards that are still wanted
 // count for the retry budget; otherwise rejected requests would add to it.
 func (ex *executor) start(now time.Time) {
@@ -89,6 +90,8 @@
 	for sh, service := range ex.services {
 		if vw.noneExpected(now, service) {
 			ex.qu.NoServerLeft(now, sh, scatter.CauseNoServer, now)
+		} else if ex.allDown(now, sh) {
+			ex.qu.NoServerLeft(now, sh, scatter.CauseDown, now)
 		}
 	}
 	for sh, service := range ex.services {
@@ -119,6 +122,8 @@
 		ex.qu.NoServerLeft(now, sa.Shard, scatter.CauseNone, now.Add(noServerRetryDelay))
 	case ex.ca.sv.re.AllWarmingUp(now, replica.Request{Service: service, Avoid: ex.tried[sa.Shard]}):
 		ex.qu.NoServerLeft(now, sa.Shard, scatter.CauseCold, now.Add(noServerRetryDelay))
+	case ex.allDown(now, sa.Shard):
+		ex.qu.NoServerLeft(now, sa.Shard, scatter.CauseDown, now.Add(noServerRetryDelay))
 	default:
 		ex.qu.AttemptDeferred(now, sa.Shard, scatter.CauseNoConnection, now.Add(delay))
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -90,6 +90,7 @@
 	var attempts []scatter.Attempt
 	for {
 		now := ts.Now()
+		checkAt := ex.giveUpStuck(now)
 		attempts = ex.qu.Next(now, attempts[:0])
 		for _, sa := range attempts {
 			ex.startAttempt(ctx, now, sa)
@@ -98,7 +99,7 @@
 			ex.awaitRefusals(timer)
 			return true
 		}
-		timer.Reset(ex.qu.WakeAt(now).Sub(now))
+		timer.Reset(earlier(ex.qu.WakeAt(now), checkAt).Sub(now))
 		select {
 		case res := <-ex.results:
 			ex.handleResult(res)
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -5,7 +5,7 @@
 // findings to all of them.
 //
 // A finding is only a hint for choosing backend servers. It is lost with the control
-// instance, expires by itself, and no request is refused because of it.
+// instance, expires by itself, and no request is refused because of it alone.
 package outlier
 
 import "time"
--- a/scatter/events.go
+++ b/scatter/events.go
@@ -64,6 +64,18 @@
 	qu.updateState(now)
 }
 
+// GiveUp gives up a shard although attempts may be in flight. A part that they bring before
+// the query has ended counts all the same.
+func (qu *Query) GiveUp(now time.Time, index int, ca Cause) {
+	sh := &qu.shards[index]
+	if sh.hasPart {
+		return
+	}
+	sh.setCause(ca)
+	qu.giveUp(sh)
+	qu.updateState(now)
+}
+
 // RetryNow makes a shard that waits for a server or a connection due at once.
 func (qu *Query) RetryNow(now time.Time, index int) {
 	sh := &qu.shards[index]
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -41,6 +41,7 @@
 const (
 	CauseNone         Cause = iota
 	CauseNoServer           // No backend server of the shard is known.
+	CauseDown               // Its backend servers fail nearly all requests of all entry instances.
 	CauseCold               // Its backend servers are cold and already get all they can take.
 	CauseNoConnection       // No connection or slot was free, so nothing was sent.
 	CauseBudget             // The retry budget is spent.
@@ -172,6 +173,13 @@
 	return qu.state == Running && !sh.hasPart && !sh.givenUp && sh.inFlight == 0
 }
 
+// Exhausted reports whether a shard waits only for attempts in flight, since no other one
+// is allowed beside or after them.
+func (qu *Query) Exhausted(index int) bool {
+	sh := &qu.shards[index]
+	return qu.state == Running && !sh.hasPart && !sh.givenUp && sh.inFlight > 0 && sh.numRun+sh.inFlight >= max(1, qu.pl.MaxAttempts)
+}
+
 // NeedsRetries reports whether the answer can't reach MinParts without a further attempt,
 // even if all attempts in flight bring their parts. Otherwise a retry only makes a partial
 // answer more complete, or serves if an attempt in flight fails.
@@ -318,6 +326,8 @@
 	switch ca {
 	case CauseNoServer:
 		return "no backend server is known"
+	case CauseDown:
+		return "backend servers are down"
 	case CauseCold:
 		return "backend servers are warming up"
 	case CauseNoConnection:
