feed: exchange overload reports and admission levels

Entry instances send OverloadReport to the two control instances that also get their samples; a control instance broadcasts AdmissionLevels on change and again while a group is watched. Both go only to instances that announced FeatureOverload.

--- a/feed/cluster_test.go
+++ b/feed/cluster_test.go
@@ -37,13 +37,14 @@
 // cluster holds control instances and entry instances that are connected by pipes, with
 // the clock of a synctest bubble.
 type cluster struct {
-	c      *qt.C
-	ts     *timer.Service
-	lg     *zap.Logger
-	logs   *observer.ObservedLogs
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	withoutOverload bool // control instances started from now on are of the first release
+	c               *qt.C
+	ts              *timer.Service
+	lg              *zap.Logger
+	logs            *observer.ObservedLogs
+	ctx             context.Context
+	cancel          context.CancelFunc
+	wg              sync.WaitGroup
 
 	latency     time.Duration     // delay of each message
 	dataCentres map[string]string // data centres of control instances by name
@@ -206,7 +207,7 @@
 func (co *control) start() {
 	cl := co.cl
 	ctx, cancel := context.WithCancel(cl.ctx)
-	pu := NewPublisher(PublisherConfig{Name: co.member.Name, DataCentre: cl.dataCentres[co.member.Name], SilenceTimeout: testSilenceTimeout}, cl.ts, cl.lg)
+	pu := NewPublisher(PublisherConfig{Name: co.member.Name, DataCentre: cl.dataCentres[co.member.Name], SilenceTimeout: testSilenceTimeout, Overload: !cl.withoutOverload}, cl.ts, cl.lg)
 	cl.mu.Lock()
 	co.pu, co.stop, co.unreachable, co.stalled = pu, cancel, false, false
 	cl.mu.Unlock()
--- a/feed/message.go
+++ b/feed/message.go
@@ -220,5 +220,5 @@
 
 // Messages returns one zero value of each message of this package, for the codec.
 func Messages() []peer.Message {
-	return []peer.Message{Subscribe{}, StateReport{}, Fetch{}, Configuration{}, Snapshot{}, Update{}, Observations{}, Findings{}, Invite{}, LoadReport{}}
+	return []peer.Message{Subscribe{}, StateReport{}, Fetch{}, Configuration{}, Snapshot{}, Update{}, Observations{}, Findings{}, Invite{}, LoadReport{}, OverloadReport{}, AdmissionLevels{}}
 }
--- a/feed/outliers.go
+++ b/feed/outliers.go
@@ -64,18 +64,18 @@
 	}
 	su.mu.Lock()
 	defer su.mu.Unlock()
-	for _, co := range su.collectorLinks() {
+	for _, co := range su.collectorLinks(0) {
 		_ = co.Send(Observations{Samples: sas}) // Reading from the link reports its end.
 	}
 }
 
-// collectorLinks returns the links to the collectors. A link alone isn't enough: a
+// collectorLinks returns the links to the collectors that understand the features. A link alone isn't enough: a
 // control instance that hangs accepts links but sends nothing.
-func (su *Subscriber) collectorLinks() []*link.Conn {
+func (su *Subscriber) collectorLinks(fe Features) []*link.Conn {
 	now := su.ts.Now()
 	var sos []*source
 	for so, co := range su.conns {
-		if so.connected.Load() && now.Sub(co.LastReceived()) < 2*su.cf.Link.PingInterval {
+		if so.connected.Load() && Features(so.features.Load()).Has(fe) && now.Sub(co.LastReceived()) < 2*su.cf.Link.PingInterval {
 			sos = append(sos, so)
 		}
 	}
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
@@ -47,6 +48,8 @@
 	// Quarantine holds the requests suspected of crashing servers; nil means a new, empty
 	// one.
 	Quarantine *quarantine.Tracker
+	// Overload enables admission levels for all entry instances together.
+	Overload bool
 }
 
 // Publisher sends changes to the entry instances that have a link to this control
@@ -78,6 +81,7 @@
 
 	configurations configurationStore
 	detector       lockedDetector
+	overload       lockedController
 	qa             *quarantine.Tracker
 }
 
@@ -87,6 +91,7 @@
 	en          Entry
 	joinNumber  uint64
 	fromControl bool // the subscriber is a control instance
+	features    Features
 }
 
 // encodedSnapshot is an encoded snapshot and the time at which it was made.
@@ -144,6 +149,8 @@
 	defer tick.Stop()
 	outlierTick := pu.ts.Subscribe(outlierInterval)
 	defer outlierTick.Stop()
+	levelsTick := pu.ts.Subscribe(overload.ReportInterval)
+	defer levelsTick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,6 +159,8 @@
 			pu.expireServers(pu.ts.Now())
 		case <-outlierTick.C:
 			pu.publishFindings(pu.ts.Now())
+		case <-levelsTick.C:
+			pu.publishLevels(pu.ts.Now())
 		}
 	}
 }
@@ -217,6 +226,8 @@
 		case Observations:
 			pu.detector.add(pu.ts.Now(), sb.en.Name, me.Samples)
 			pu.AddSuspects(sb.en.Name, me.Suspects)
+		case OverloadReport:
+			pu.overload.add(pu.ts.Now(), me.Reports)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -230,7 +241,7 @@
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	pu.numJoined++
-	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, en: Entry{
+	sb := &subscriber{co: co, joinNumber: pu.numJoined, fromControl: first.FromControl, features: first.Features, en: Entry{
 		Name: first.Name, DataCentre: first.DataCentre, Address: first.Address, State: first.State,
 	}}
 	pu.subscribers[sb] = struct{}{}
@@ -271,6 +282,7 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
+		Features: overloadFeatures(pu.cf.Overload),
 	}
 }
 
@@ -319,8 +331,16 @@
 
 // broadcast sends a message to all subscribers. It is encoded once.
 func (pu *Publisher) broadcast(ms peer.Message) {
+	pu.broadcastTo(ms, func(*subscriber) bool { return true })
+}
+
+// broadcastTo sends a message to the subscribers for which wanted returns true.
+func (pu *Publisher) broadcastTo(ms peer.Message, wanted func(*subscriber) bool) {
 	var pa *link.PreparedMessage
 	for sb := range pu.subscribers {
+		if !wanted(sb) {
+			continue
+		}
 		if pa == nil {
 			packed, err := sb.co.Prepare(ms)
 			if err != nil {
--- a/feed/source.go
+++ b/feed/source.go
@@ -35,9 +35,10 @@
 	cancel         context.CancelFunc
 	redial         chan struct{} // ends the wait for the redial backoff
 	name           string
-	sameDataCentre bool        // the control instance is in the same data centre
-	connected      atomic.Bool // the link is up and the snapshot has arrived
-	lossLogged     bool        // the loss or absence of the link has been logged
+	sameDataCentre bool          // the control instance is in the same data centre
+	connected      atomic.Bool   // the link is up and the snapshot has arrived
+	features       atomic.Uint32 // Features that the control instance announced
+	lossLogged     bool          // the loss or absence of the link has been logged
 	lostAt         time.Time
 	members        []Member
 	entries        map[string]Entry
@@ -164,6 +165,7 @@
 	en := su.cf.Self
 	err := co.Send(Subscribe{
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.version, FromControl: su.cf.OwnAddress != "",
+		Features: overloadFeatures(su.cf.LevelsReceived != nil),
 	})
 	if err == nil && su.cf.OwnAddress == "" {
 		err = co.Send(su.load)
@@ -212,6 +214,8 @@
 		su.receiveConfiguration(so, me)
 	case Findings:
 		su.receiveFindings(so, me.Findings)
+	case AdmissionLevels:
+		su.receiveLevels(so, me.Levels)
 	default:
 		su.lg.Warn("message-not-expected", zap.String("Address", so.address), zap.Uint16("Kind", uint16(me.Kind())))
 	}
@@ -219,6 +223,7 @@
 
 func (su *Subscriber) applySnapshot(so *source, sn Snapshot) {
 	now := su.ts.Now()
+	so.features.Store(uint32(sn.Features))
 	if !so.connected.Load() {
 		so.connected.Store(true)
 		su.numConnected.Add(1)
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -12,6 +12,7 @@
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/timer"
@@ -76,6 +77,9 @@
 	// Suspects returns this instance's records of requests suspected of crashing servers,
 	// which are sent to a control instance whose link comes up; nil for none.
 	Suspects func() []quarantine.Record
+	// LevelsReceived is called with the admission levels that the control instance with the
+	// given address sent, from the goroutine of Serve; nil if the instance uses none.
+	LevelsReceived func(control string, lss []overload.Levels)
 }
 
 // Subscriber keeps an entry instance's links to all control instances. Its methods are
