gateway, tier, overload, feed: admit requests by the levels of all entry instances

The gateway asks overload.Client before admit.Limiter when the configuration has customers or routes of different priority, and refuses with a true 503 before anything is sent; callers that come back as told are served. The tier sends reports every 100 ms if there is anything to report and applies the levels that it receives. Levels are sent at most every second evaluation unless one is urgent, 24 at most, so that an entry instance receives at most some 5 KB per second. The log of control instances names changes of a level with demand and limit, the line of a refusal the level, its age and what the caller was told, and balsamctl explain shows it.

go test -race ./overload ./feed ./gateway, go test ./tier ./cmd/balsamctl: ok. No run of a whole tier under overload was made.

--- a/cmd/balsamctl/request.go
+++ b/cmd/balsamctl/request.go
@@ -100,6 +100,9 @@
 		{"sent", fmt.Sprintf("%s, of them %s hedges and %s retries; the retry budget denied %s", li.Text("Sent"), li.Text("Hedged"), li.Text("Retried"), li.Text("Denied"))},
 		{"missing parts", li.Text("Missing")},
 	}
+	if le := li.Text("AdmissionLevel"); le != "" {
+		rows = append(rows, [2]string{"overload", fmt.Sprintf("%s of the requests like it were admitted at all instances, as of %s ms before; the caller was told to come back after %s ms", le, li.Text("AdmissionLevelMillis"), li.Text("ToldMillis"))})
+	}
 	if ac := li.Text("Active"); ac != "" {
 		rows = append(rows, [2]string{"then", fmt.Sprintf("%s requests in flight; the backend servers last changed %s ms before it arrived", ac, li.Text("NewsMillis"))})
 	}
--- a/feed/overload.go
+++ b/feed/overload.go
@@ -42,13 +42,15 @@
 type lockedController struct {
 	mu sync.Mutex
 	co *overload.Controller
+	// logged holds the levels of each group that were last logged.
+	logged map[string]overload.Levels
 }
 
 func (lc *lockedController) add(now time.Time, res []overload.Report) {
 	lc.mu.Lock()
 	defer lc.mu.Unlock()
 	if lc.co == nil {
-		lc.co = overload.NewController()
+		lc.co, lc.logged = overload.NewController(), make(map[string]overload.Levels)
 	}
 	lc.co.Add(now, res[:min(len(res), maxReports)])
 }
@@ -63,6 +65,24 @@
 	return lss[:min(len(lss), maxReports)]
 }
 
+// takeChanged returns the levels that have changed since they were last returned.
+func (lc *lockedController) takeChanged(lss []overload.Levels) []overload.Levels {
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	var out []overload.Levels
+	for _, ls := range lss {
+		if last := lc.logged[ls.Group]; ls.SimilarTo(&last) {
+			continue
+		}
+		out = append(out, ls)
+		lc.logged[ls.Group] = ls
+		if !ls.Watched {
+			delete(lc.logged, ls.Group)
+		}
+	}
+	return out
+}
+
 // publishLevels sends new admission levels to the entry instances that understand them.
 func (pu *Publisher) publishLevels(now time.Time) {
 	lss := pu.overload.evaluate(now)
@@ -71,7 +91,7 @@
 	}
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
-	for _, ls := range lss {
+	for _, ls := range pu.overload.takeChanged(lss) {
 		pu.ll.info(now, "admission-level-set", levelFields(ls)...)
 	}
 	pu.broadcastTo(AdmissionLevels{Levels: lss}, func(sb *subscriber) bool { return sb.features.Has(FeatureOverload) })
@@ -102,5 +122,6 @@
 	return []zap.Field{
 		zap.String("Group", ls.Group), zap.Bool("Watched", ls.Watched), zap.Bool("Limited", ls.Limited),
 		zap.Float32("Fraction", ls.Fraction), zap.Int("Levels", len(ls.Levels)),
+		zap.Float64("Demand", ls.Demand), zap.Float64("Limit", ls.Limit),
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"balsamwinch.example/customer"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/result"
 	"balsamwinch.example/route"
@@ -42,6 +44,8 @@
 	start time.Time
 	body  []byte
 
+	customer *customer.Customer // nil if the request needs no key
+
 	code       result.Code
 	status     int
 	detail     string
@@ -52,7 +56,9 @@
 	numDenied  int
 	contentKey quarantine.Key // zero until quarantineKey computes it
 	probe      bool           // backend servers ended during the same request before
-	ex         *executor      // nil if no backend server was asked
+	levelUsed  bool           // the admission levels of all instances apply
+	decision   overload.Decision
+	ex         *executor // nil if no backend server was asked
 }
 
 // serve answers a request under the table that was in force when it arrived.
@@ -77,12 +83,11 @@
 	if len(services) == 0 {
 		services = []string{ca.sv.pk.Pick(ro)}
 	}
-	if !ca.sv.ad.Acquire(services[0]) {
-		ca.reject(reasonBusy, ca.retryAfter())
+	if !ca.admit(services[0]) {
 		return
 	}
 	defer func() {
-		ca.sv.ad.Release(ca.sv.ts.Now(), services[0], ca.metOverload())
+		ca.release(services[0])
 		ca.recycleReplies()
 	}()
 	if len(ro.Shards) > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"balsamwinch.example/admit"
 	"balsamwinch.example/budget"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
@@ -57,6 +58,9 @@
 	// Warmup sets the burst factor and slack of requests to cold backend servers. Rate and
 	// duration come from the configuration of each service.
 	Warmup warmup.Limit
+	// Levels admits requests by the levels of all entry instances; nil means that each
+	// instance decides alone.
+	Levels *overload.Client
 }
 
 // Server answers the requests of callers. It is safe for concurrent use.
@@ -79,6 +83,7 @@
 	scarceServers    atomic.Pointer[scarceServers]
 	rejecting        atomic.Bool
 	closing          atomic.Bool
+	ranked           atomic.Bool // the table in force ranks requests
 	view             atomic.Pointer[serverView]
 	inFlight         atomic.Int64
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
@@ -120,6 +125,7 @@
 	sv.mu.Lock()
 	sv.updateExpected(tb)
 	sv.mu.Unlock()
+	sv.ranked.Store(ranksRequests(tb))
 	sv.tb.Store(tb)
 	sv.divideConnections()
 }
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -164,6 +164,7 @@
 	if ca.code == result.NotRunQuarantined {
 		oe.AddString("Content", ca.quarantineKey().String())
 	}
+	ca.addDecision(oe)
 	if ca.status >= http.StatusInternalServerError {
 		oe.AddInt("Active", ca.sv.InFlight())
 		oe.AddInt64("NewsMillis", ca.sv.sinceServersChanged(ca.start).Milliseconds())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/result"
 	"balsamwinch.example/scatter"
@@ -62,6 +64,8 @@
 	set         *metrics.Set
 	probed      *metrics.Counter
 	quarantined *metrics.Counter
+	returned    *metrics.Counter // callers that came back as told and were admitted for it
+	refusals    [overload.NumClasses]*metrics.Counter
 
 	mu       sync.Mutex // guards additions to the maps
 	routes   atomic.Pointer[map[string]*routeMetrics]
@@ -87,6 +91,16 @@
 	})
 	mt.probed = mt.set.NewCounter("balsamwinch_requests_probed_total")
 	mt.quarantined = mt.set.NewCounter("balsamwinch_requests_quarantined_total")
+	mt.returned = mt.set.NewCounter("balsamwinch_overload_returned_total")
+	mt.set.NewGauge("balsamwinch_overload_level", func() float64 {
+		if sv.cf.Levels == nil {
+			return 1
+		}
+		return sv.cf.Levels.Lowest(sv.ts.Now())
+	})
+	for class := range mt.refusals {
+		mt.refusals[class] = mt.set.NewCounter(`balsamwinch_overload_refused_total{class="` + strconv.Itoa(class) + `"}`)
+	}
 	for _, ve := range []quarantine.Verdict{quarantine.Probe, quarantine.Refuse} {
 		mt.set.NewGauge(`balsamwinch_quarantine_records{verdict="`+ve.String()+`"}`, func() float64 { return float64(sv.qa.Count(ve)) })
 	}
@@ -101,6 +115,9 @@
 	})
 }
 
+// countRefusal counts a request refused by the levels of all entry instances.
+func (mt *serverMetrics) countRefusal(class overload.Class) { mt.refusals[class].Inc() }
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (sv *Server) WriteMetrics(wr io.Writer) { sv.metrics.set.WritePrometheus(wr) }
 
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -49,14 +49,18 @@
 	watchCount = 3
 	settleTime = 250 * time.Millisecond
 	watchTime  = 2 * time.Second
-	// resendInterval is how often levels are sent again while a group is limited. Two
-	// updates may be lost within LevelsTTL.
+	// resendInterval is the least time between two updates of the levels of a group, which
+	// is every second evaluation, unless one is urgent. Within LevelsTTL one may be lost.
 	resendInterval = 150 * time.Millisecond
-	// minChange is the change of a fraction that is sent at once.
+	// urgentChange is the relative change of the overall fraction that is sent at once, as
+	// when queues at the servers must drain or have drained.
+	urgentChange = 0.2
+	// minChange is the change of a fraction that is logged, and the difference from its
+	// class from which a customer has a level of its own.
 	minChange = 0.05
-	// maxLevels bounds the levels of customers in one message. Only customers whose
-	// fraction differs from that of their class by minChange have one.
-	maxLevels = 64
+	// maxLevels bounds the levels in one message. With about 20 bytes each, from two
+	// control instances five times a second, an entry instance receives 5 KB/s at most.
+	maxLevels = 24
 	// forgetAfter is how long a group without reports is kept.
 	forgetAfter = 10 * time.Second
 )
@@ -138,7 +142,7 @@
 		gr.adjust(now)
 		ls := gr.levels()
 		ls.Group = name
-		if due := ls.Watched && now.Sub(gr.sentAt) >= resendInterval; due || ls.differs(&gr.sent) {
+		if due := ls.Watched && now.Sub(gr.sentAt) >= resendInterval; due || ls.urgent(&gr.sent) {
 			gr.sent, gr.sentAt = ls, now
 			out = append(out, ls)
 		}
@@ -248,14 +252,14 @@
 func (gr *groupState) levels() Levels {
 	total := gr.total()
 	if math.IsInf(gr.limit, 1) || total == 0 {
-		return Levels{Watched: !gr.watched.IsZero(), Fraction: 1}
+		return Levels{Watched: !gr.watched.IsZero(), Fraction: 1, Demand: total}
 	}
 	rate := gr.limit
 	if gr.draining {
 		rate *= drainFactor
 	}
 	fraction := min(1, rate/total)
-	out := Levels{Watched: true, Limited: true, Fraction: float32(fraction)}
+	out := Levels{Watched: true, Limited: true, Fraction: float32(fraction), Demand: total, Limit: rate}
 	var classes [NumClasses]float64
 	var members [NumClasses][]Source
 	for so, de := range gr.demand {
@@ -294,6 +298,12 @@
 	}
 }
 
+// urgent reports whether the levels should be sent at once after those sent before.
+func (ls *Levels) urgent(sent *Levels) bool {
+	return ls.Limited != sent.Limited || ls.Watched != sent.Watched ||
+		math.Abs(float64(ls.Fraction-sent.Fraction)) >= urgentChange*float64(sent.Fraction) && ls.Limited
+}
+
 // differs reports whether the levels differ from those sent before by enough to be sent.
 func (ls *Levels) differs(sent *Levels) bool {
 	if ls.Limited != sent.Limited || ls.Watched != sent.Watched {
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -70,8 +70,14 @@
 	Limited  bool    `cbor:"5,keyasint,omitempty"` // Limited is set while not everything is admitted.
 	Fraction float32 `cbor:"3,keyasint,omitempty"` // Fraction is the overall one.
 	Levels   []Level `cbor:"4,keyasint,omitempty"`
+
+	Demand float64 `cbor:"-"` // Demand is the arriving requests per second, for logs.
+	Limit  float64 `cbor:"-"` // Limit is the admitted requests per second, for logs; 0 if everything is admitted.
 }
 
+// SimilarTo reports whether levels differ little from others of the same group.
+func (ls *Levels) SimilarTo(other *Levels) bool { return !ls.differs(other) }
+
 // of returns the admitted fraction of a source.
 func (ls *Levels) of(so Source) float64 {
 	fraction := ls.Fraction
--- a/tier/control.go
+++ b/tier/control.go
@@ -49,6 +49,7 @@
 	qa := quarantine.New()
 	co.pu = feed.NewPublisher(feed.PublisherConfig{
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
+		Overload: se.Overload.Shared,
 	}, ts, lg)
 	co.ro = newRosters(di.NewParser(), co.pu, ts, lg)
 	ss := stateStore{dir: se.DataFolder, pu: co.pu, ps: &peerServers{mergeSuspects: co.pu.AddSuspects}, ro: co.ro, qa: qa, ts: ts, lg: lg}
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -13,6 +13,7 @@
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
@@ -51,6 +52,7 @@
 	ts      *timer.Service
 	lg      *zap.Logger
 	sr      *stateReporter
+	levels  *overload.Client // nil if disabled
 
 	// servers and evacuations are the latest state from the subscriber. Only the
 	// subscriber's goroutine accesses them.
@@ -76,6 +78,7 @@
 	sp.Add(service{"callers", en.callers.Serve})
 	sp.Add(service{"news", en.sendObservations})
 	sp.Add(service{"load", en.sendLoad})
+	sp.Add(service{"overload", en.sendOverload})
 	sp.Add(service{"suspects", en.sendSuspects})
 	sp.Add(service{"house", func(ctx context.Context) error { return runHousekeeping(ctx, up, en.re, ts, lg) }})
 	serveUntil(ctx, sp, func() { en.stop(se.Timing.StopWithin, ts) })
@@ -100,16 +103,18 @@
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano())})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Fraction: budgetFraction}, now)
 	qa := quarantine.New()
-	en := &entry{parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg}
+	en := &entry{parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg, levels: newLevels(se)}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.HeaderNames(), Name: se.Name, DataCentre: se.DataCentre,
 		CallerDelay: se.Timing.CallerDistance, PartialMargin: partialMargin, MaxInFlight: maxInFlight,
 		Warmup: warmup.Limit{BurstFactor: se.Warmup.Overage, Slack: se.Warmup.Slack},
+		Levels: en.levels,
 	}, ts, lg, up, re, bu, qa)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: ls.linkSeeds, Link: lc, RetentionTimeout: serverRetentionTimeout,
-		Suspects: func() []quarantine.Record { return qa.Records(ts.Now()) },
+		Suspects:       func() []quarantine.Record { return qa.Records(ts.Now()) },
+		LevelsReceived: en.levelsReceived(),
 	}, ts, lg, en)
 	en.sr = &stateReporter{report: en.su.SetState}
 	return en
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -34,6 +34,7 @@
 	Timing      Timing
 	Budget      Budget
 	Warmup      Warmup
+	Overload    Overload
 	Metrics     string // IP:port that serves metrics; empty for none
 }
 
@@ -83,6 +84,13 @@
 	Slack   float64
 }
 
+// Overload configures what instances do while the backend servers lack capacity.
+type Overload struct {
+	// Shared is set if entry instances admit requests by levels that control instances
+	// derive from the reports of all of them; otherwise each decides alone.
+	Shared bool
+}
+
 // Defaults returns the values of settings that a file may omit.
 func Defaults() Settings {
 	return Settings{
@@ -97,9 +105,10 @@
 			Election:       400 * time.Millisecond,
 			Heartbeat:      100 * time.Millisecond,
 		},
-		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Warmup: Warmup{Overage: 1},
-		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
+		Budget:   Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Warmup:   Warmup{Overage: 1},
+		Overload: Overload{Shared: true},
+		Limits:   MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
 
