--- a/cmd/balsamctl/request.go
+++ b/cmd/balsamctl/request.go
@@ -107,6 +107,9 @@
 	if ow := quotaOwnersOf(li); ow != "" {
 		rows = append(rows, [2]string{"quota owners", ow})
 	}
+	if le := li.Text("AdmissionLevel"); le != "" {
+		rows = append(rows, [2]string{"overload", fmt.Sprintf("%s of the requests like it were admitted at all instances, as of %s ms before; the caller was told to come back after %s ms", le, li.Text("AdmissionLevelMillis"), li.Text("ToldMillis"))})
+	}
 	if ac := li.Text("Active"); ac != "" {
 		rows = append(rows, [2]string{"then", fmt.Sprintf("%s requests in flight; the backend servers last changed %s ms before it arrived", ac, li.Text("NewsMillis"))})
 	}
--- a/feed/message.go
+++ b/feed/message.go
@@ -236,6 +236,8 @@
 		LoadReport{},
 		QuotaRequest{},
 		QuotaGrant{},
+		OverloadReport{},
+		AdmissionLevels{},
 		StallReport{},
 		Stalls{},
 	}
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/peer"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
@@ -52,6 +53,8 @@
 	GrantQuotas func(entry string, rq QuotaRequest) QuotaGrant
 	// SharedStalls is set if stalls of backend servers are evaluated and published.
 	SharedStalls bool
+	// Overload enables admission levels for all entry instances together.
+	Overload bool
 }
 
 // Publisher sends changes to the entry instances that have a link to this control
@@ -83,6 +86,7 @@
 
 	configurations configurationStore
 	detector       lockedDetector
+	overload       lockedController
 	qa             *quarantine.Tracker
 	stalls         *stallShare // nil if stalls are not shared
 }
@@ -154,6 +158,8 @@
 	defer tick.Stop()
 	outlierTick := pu.ts.Subscribe(outlierInterval)
 	defer outlierTick.Stop()
+	levelsTick := pu.ts.Subscribe(overload.ReportInterval)
+	defer levelsTick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,6 +169,8 @@
 		case <-outlierTick.C:
 			pu.publishFindings(pu.ts.Now())
 			pu.updateStalls(pu.ts.Now())
+		case <-levelsTick.C:
+			pu.publishLevels(pu.ts.Now())
 		}
 	}
 }
@@ -232,6 +240,8 @@
 			pu.answerQuotas(sb, me)
 		case StallReport:
 			pu.addStalls(sb, me)
+		case OverloadReport:
+			pu.overload.add(pu.ts.Now(), me.Reports)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -286,7 +296,7 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
-		Features: supportedFeatures | pu.stallFeature(),
+		Features: supportedFeatures | pu.stallFeature() | overloadFeatures(pu.cf.Overload),
 	}
 }
 
@@ -338,11 +348,11 @@
 	pu.broadcastTo(ms, func(*subscriber) bool { return true })
 }
 
-// broadcastTo sends a message to the subscribers for which the condition holds.
-func (pu *Publisher) broadcastTo(ms peer.Message, condition func(*subscriber) bool) {
+// broadcastTo sends a message to the subscribers for which wanted returns true.
+func (pu *Publisher) broadcastTo(ms peer.Message, wanted func(*subscriber) bool) {
 	var pa *link.PreparedMessage
 	for sb := range pu.subscribers {
-		if !condition(sb) {
+		if !wanted(sb) {
 			continue
 		}
 		if pa == nil {
--- a/feed/quotas.go
+++ b/feed/quotas.go
@@ -73,7 +73,7 @@
 func (su *Subscriber) updateQuotaOwners() {
 	var ows []quota.OwnerRef
 	for _, so := range su.sources {
-		if so.connected.Load() && so.features.Has(FeatureQuotas) {
+		if so.connected.Load() && Features(so.features.Load()).Has(FeatureQuotas) {
 			ows = append(ows, quota.OwnerRef{Address: so.address, Name: so.name, Near: so.sameDataCentre})
 		}
 	}
--- a/feed/source.go
+++ b/feed/source.go
@@ -35,10 +35,10 @@
 	cancel         context.CancelFunc
 	redial         chan struct{} // ends the wait for the redial backoff
 	name           string
-	sameDataCentre bool        // the control instance is in the same data centre
-	connected      atomic.Bool // the link is up and the snapshot has arrived
-	features       Features    // what the control instance understands
-	lossLogged     bool        // the loss or absence of the link has been logged
+	sameDataCentre bool          // the control instance is in the same data centre
+	connected      atomic.Bool   // the link is up and the snapshot has arrived
+	features       atomic.Uint32 // Features that the control instance announced
+	lossLogged     bool          // the loss or absence of the link has been logged
 	lostAt         time.Time
 	members        []Member
 	entries        map[string]Entry
@@ -170,7 +170,7 @@
 	en := su.cf.Self
 	err := co.Send(Subscribe{
 		Name: en.Name, DataCentre: en.DataCentre, Address: en.Address, State: su.state, Version: su.version, FromControl: su.cf.OwnAddress != "",
-		Features: supportedFeatures | su.stallFeature(),
+		Features: supportedFeatures | su.stallFeature() | overloadFeatures(su.cf.LevelsReceived != nil),
 	})
 	if err == nil && su.cf.OwnAddress == "" {
 		err = co.Send(su.load)
@@ -221,6 +221,8 @@
 		su.receiveFindings(so, me.Findings)
 	case Stalls:
 		su.receiveStalls(so, me)
+	case AdmissionLevels:
+		su.receiveLevels(so, me.Levels)
 	default:
 		su.lg.Warn("message-not-expected", zap.String("Address", so.address), zap.Uint16("Kind", uint16(me.Kind())))
 	}
@@ -228,6 +230,7 @@
 
 func (su *Subscriber) applySnapshot(so *source, sn Snapshot) {
 	now := su.ts.Now()
+	so.features.Store(uint32(sn.Features))
 	if !so.connected.Load() {
 		so.connected.Store(true)
 		su.numConnected.Add(1)
@@ -242,8 +245,7 @@
 	su.lg.Info("control-link-up", fields...)
 	so.lossLogged = false
 	so.name, so.members, so.sharers = sn.Name, sn.Members, sn.Sharers
-	so.features = sn.Features
-	so.stalls.set(sn.Features)
+	so.stalls.reset()
 	so.sameDataCentre = sn.DataCentre != "" && sn.DataCentre == su.cf.Self.DataCentre
 	so.entries = make(map[string]Entry, len(sn.Entries))
 	for _, en := range sn.Entries {
--- a/feed/stalls.go
+++ b/feed/stalls.go
@@ -217,15 +217,11 @@
 
 // stallSource is what a subscriber knows of a control instance's messages about stalls.
 type stallSource struct {
-	features atomic.Uint32 // that the control instance announced
-	late     stall.Lateness
+	late stall.Lateness
 }
 
-// set records a snapshot, which begins a new link and perhaps a new process.
-func (so *stallSource) set(fe Features) {
-	so.features.Store(uint32(fe))
-	so.late = stall.Lateness{}
-}
+// reset prepares for a new link, and perhaps a new process.
+func (so *stallSource) reset() { so.late = stall.Lateness{} }
 
 // stallFeature returns the feature that is announced to control instances.
 func (su *Subscriber) stallFeature() Features {
@@ -244,13 +240,9 @@
 	su.mu.Lock()
 	defer su.mu.Unlock()
 	count := 0
-	for _, co := range su.collectorLinks() {
-		for so, other := range su.conns {
-			if other == co && Features(so.stalls.features.Load()).Has(FeatureStalls) {
-				_ = co.Send(StallReport{Observations: obs, Secondary: count > 0}) // Reading from the link reports its end.
-				count++
-			}
-		}
+	for _, co := range su.collectorLinks(FeatureStalls) {
+		_ = co.Send(StallReport{Observations: obs, Secondary: count > 0}) // Reading from the link reports its end.
+		count++
 	}
 	return count
 }
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -12,6 +12,7 @@
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/quota"
 	"balsamwinch.example/registry"
@@ -83,6 +84,9 @@
 	// StallsHeard is called by the goroutine of Serve with news of stalls; nil if stalls are
 	// not shared. See Subscriber.receiveStalls.
 	StallsHeard func(late time.Duration, sts Stalls)
+	// LevelsReceived is called with the admission levels that the control instance with the
+	// given address sent, from the goroutine of Serve; nil if the instance uses none.
+	LevelsReceived func(control string, lss []overload.Levels)
 }
 
 // Subscriber keeps an entry instance's links to all control instances. Its methods are
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamwinch.example/customer"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/quota"
 	"balsamwinch.example/result"
@@ -57,7 +58,9 @@
 	token      time.Time         // expiry of the token of a customer with a quota; zero if there is none
 	owners     []quota.Statement // what the owners of the quota said to a refused request
 	probe      bool              // backend servers ended during the same request before
-	ex         *executor         // nil if no backend server was asked
+	levelUsed  bool              // the admission levels of all instances apply
+	decision   overload.Decision
+	ex         *executor // nil if no backend server was asked
 }
 
 // serve answers a request under the table that was in force when it arrived.
@@ -85,12 +88,11 @@
 	if len(services) == 0 {
 		services = []string{ca.sv.pk.Pick(ro)}
 	}
-	if !ca.sv.ad.Acquire(services[0]) {
-		ca.reject(reasonBusy, ca.retryAfter())
+	if !ca.admit(services[0]) {
 		return
 	}
 	defer func() {
-		ca.sv.ad.Release(ca.sv.ts.Now(), services[0], ca.metOverload())
+		ca.release(services[0])
 		ca.returnToken()
 		ca.recycleReplies()
 	}()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"balsamwinch.example/admit"
 	"balsamwinch.example/budget"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
@@ -64,6 +65,9 @@
 	// SharedStalls is set if entry instances tell each other of stalled backend servers,
 	// where the configuration has a route over many shards and there are many of them.
 	SharedStalls bool
+	// Levels admits requests by the levels of all entry instances; nil means that each
+	// instance decides alone.
+	Levels *overload.Client
 }
 
 // Server answers the requests of callers. It is safe for concurrent use.
@@ -86,6 +90,7 @@
 	scarceServers    atomic.Pointer[scarceServers]
 	rejecting        atomic.Bool
 	closing          atomic.Bool
+	ranked           atomic.Bool // the table in force ranks requests
 	view             atomic.Pointer[serverView]
 	inFlight         atomic.Int64
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
@@ -130,6 +135,7 @@
 	sv.mu.Lock()
 	sv.updateExpected(tb)
 	sv.mu.Unlock()
+	sv.ranked.Store(ranksRequests(tb))
 	sv.tb.Store(tb)
 	sv.customers.retain(tb.Customers())
 	sv.divideConnections()
--- a/tier/control.go
+++ b/tier/control.go
@@ -53,6 +53,7 @@
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
 		GrantQuotas:  qo.grant,
 		SharedStalls: se.Stalls.Shared,
+		Overload:     se.Overload.Shared,
 	}, ts, lg)
 	co.ro = newRosters(di.NewParser(), co.pu, ts, lg)
 	co.ro.tableParsed = qo.setTable
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -13,6 +13,7 @@
 	"balsamwinch.example/gateway"
 	"balsamwinch.example/link"
 	"balsamwinch.example/outlier"
+	"balsamwinch.example/overload"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
 	"balsamwinch.example/replica"
@@ -52,6 +53,7 @@
 	lg      *zap.Logger
 	sr      *stateReporter
 	qc      *quotaClient
+	levels  *overload.Client // nil if disabled
 
 	// servers and evacuations are the latest state from the subscriber. Only the
 	// subscriber's goroutine accesses them.
@@ -78,6 +80,7 @@
 	sp.Add(service{"news", en.sendObservations})
 	sp.Add(service{"load", en.sendLoad})
 	sp.Add(service{"stalls", en.reportStalls})
+	sp.Add(service{"overload", en.sendOverload})
 	sp.Add(service{"suspects", en.sendSuspects})
 	sp.Add(service{"quotas", en.qc.serve})
 	sp.Add(service{"house", func(ctx context.Context) error { return runHousekeeping(ctx, up, en.re, ts, lg) }})
@@ -103,20 +106,25 @@
 	re := replica.New(replica.Config{DataCentre: se.DataCentre, Seed: uint64(now.UnixNano())})
 	bu := budget.New(budget.Config{Ratio: se.Budget.Ratio, Slack: int(se.Budget.Slack), Window: se.Budget.Window, Fraction: budgetFraction}, now)
 	qa := quarantine.New()
-	en := &entry{parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg, qc: newQuotaClient(se.Quota.limits(), uint64(now.UnixNano()), ts, lg)}
+	en := &entry{
+		parser: di.NewParser(), re: re, qa: qa, ts: ts, lg: lg, levels: newLevels(se),
+		qc: newQuotaClient(se.Quota.limits(), uint64(now.UnixNano()), ts, lg),
+	}
 	en.gw = gateway.New(gateway.Config{
 		Names: di.HeaderNames(), Name: se.Name, DataCentre: se.DataCentre,
 		CallerDelay: se.Timing.CallerDistance, PartialMargin: partialMargin, MaxInFlight: maxInFlight,
 		Warmup:       warmup.Limit{BurstFactor: se.Warmup.Overage, Slack: se.Warmup.Slack},
 		Quotas:       en.qc,
 		SharedStalls: se.Stalls.Shared,
+		Levels:       en.levels,
 	}, ts, lg, up, re, bu, qa)
 	en.su = feed.NewSubscriber(feed.SubscriberConfig{
 		Self:  feed.Entry{Name: se.Name, DataCentre: se.DataCentre, Address: se.Listen.Callers, State: feed.Starting},
 		Seeds: ls.linkSeeds, Link: lc, RetentionTimeout: serverRetentionTimeout,
-		Suspects:     func() []quarantine.Record { return qa.Records(ts.Now()) },
-		QuotaGranted: en.qc.granted,
-		StallsHeard:  en.stallsHeard(se),
+		Suspects:       func() []quarantine.Record { return qa.Records(ts.Now()) },
+		QuotaGranted:   en.qc.granted,
+		StallsHeard:    en.stallsHeard(se),
+		LevelsReceived: en.levelsReceived(),
 	}, ts, lg, en)
 	en.qc.su = en.su
 	en.sr = &stateReporter{report: en.su.SetState}
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -36,6 +36,7 @@
 	Warmup      Warmup
 	Quota       Quota
 	Stalls      Stalls
+	Overload    Overload
 	Metrics     string // IP:port that serves metrics; empty for none
 }
 
@@ -93,6 +94,13 @@
 	Slack   float64
 }
 
+// Overload configures what instances do while the backend servers lack capacity.
+type Overload struct {
+	// Shared is set if entry instances admit requests by levels that control instances
+	// derive from the reports of all of them; otherwise each decides alone.
+	Shared bool
+}
+
 // Defaults returns the values of settings that a file may omit.
 func Defaults() Settings {
 	return Settings{
@@ -107,11 +115,12 @@
 			Election:       400 * time.Millisecond,
 			Heartbeat:      100 * time.Millisecond,
 		},
-		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Warmup: Warmup{Overage: 1},
-		Quota:  Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
-		Stalls: Stalls{Shared: true},
-		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
+		Budget:   Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Warmup:   Warmup{Overage: 1},
+		Quota:    Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+		Stalls:   Stalls{Shared: true},
+		Overload: Overload{Shared: true},
+		Limits:   MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
 
