gateway, tier: overload levels are off by default and follow late answers from queues

A request counted as overload if its server had one request waiting, although it was answered in time. Now it counts only if the answer missed its target and more shards than may be missing had queues.

--- a/gateway/levels.go
+++ b/gateway/levels.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap/zapcore"
 
 	"balsamwinch.example/overload"
 	"balsamwinch.example/route"
+	"balsamwinch.example/scatter"
 )
 
 // reasonOverload rejects a request because the backend servers lack capacity for all that
@@ -80,9 +82,39 @@
 
 // release ends an admitted request.
 func (ca *call) release(group string) {
-	overloaded := ca.metOverload()
-	ca.sv.ad.Release(ca.sv.ts.Now(), group, overloaded)
+	now := ca.sv.ts.Now()
+	ca.sv.ad.Release(now, group, ca.metOverload())
 	if ca.levelUsed {
-		ca.sv.cf.Levels.Ended(group, overloaded)
+		ca.sv.cf.Levels.Ended(group, ca.missedTarget(now) && ca.queuedShards() > ca.spareShards())
 	}
 }
+
+// missedTarget reports whether the caller got no answer within the route's target latency.
+// Without that, queues at backend servers are no reason to refuse anyone.
+func (ca *call) missedTarget(now time.Time) bool {
+	return ca.status >= http.StatusInternalServerError || ca.isLate(now.Sub(ca.start))
+}
+
+// queuedShards returns how many shards have shown that their servers lack capacity: the
+// server that answered had requests waiting, or no connection to any was free. Refusals and
+// silence don't count, since servers that fail show them at any load.
+func (ca *call) queuedShards() int {
+	if ca.ex == nil {
+		return 0
+	}
+	count := 0
+	for sh := range ca.ex.services {
+		if serverOverloaded(ca.ex.replies[sh]) || !ca.ex.qu.HasPart(sh) && ca.ex.qu.Cause(sh) == scatter.CauseNoConnection {
+			count++
+		}
+	}
+	return count
+}
+
+// spareShards returns how many shards the answer may lack.
+func (ca *call) spareShards() int {
+	if ca.ex == nil || len(ca.ro.Shards) == 0 {
+		return 0
+	}
+	return len(ca.ro.Shards) - scatter.MinParts(len(ca.ro.Shards), ca.ro.Merge.LeastShare)
+}
--- a/tier/overload_test.go
+++ b/tier/overload_test.go
@@ -13,6 +13,7 @@
 // setting off there must be no client, and the feature isn't announced.
 func TestSharedOverloadSetting(t *testing.T) {
 	se := Defaults()
+	se.Overload.Shared = true
 	en := &entry{ts: timer.New(), levels: newLevels(se)}
 	en.levelsReceived()("control", []overload.Levels{{Group: "g", Watched: true, Limited: true, Fraction: 0.25}})
 	qt.Assert(t, en.levels.Lowest(en.ts.Now()), qt.Equals, 0.25)
--- a/tier/settings.go
+++ b/tier/settings.go
@@ -115,12 +115,11 @@
 			Election:       400 * time.Millisecond,
 			Heartbeat:      100 * time.Millisecond,
 		},
-		Budget:   Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Warmup:   Warmup{Overage: 1},
-		Quota:    Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
-		Stalls:   Stalls{Shared: true},
-		Overload: Overload{Shared: true},
-		Limits:   MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
+		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Warmup: Warmup{Overage: 1},
+		Quota:  Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+		Stalls: Stalls{Shared: true},
+		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
 
