quota, tier: ask for the token of a waiting request at once

The ledger now sends the request in the Step after Take, and the client asks the next owner at once if a link is lost or full. Only requests of the same customer that come before the answer, and requests for tokens ahead, share messages.

--- a/quota/account.go
+++ b/quota/account.go
@@ -16,6 +16,7 @@
 	emptyUntil map[string]time.Time
 	turn       uint64    // varies which owner is asked first
 	queued     bool      // the account is in Ledger.queue
+	due        time.Time // when a Step looks at the queued account at the latest
 	noAhead    time.Time // until when no tokens are asked for ahead
 	aheadAsked bool      // a request ahead is unanswered
 	nextRetry  time.Time // when the caller that was refused last should come back
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// batchDelay is how long a request for tokens waits for other customers and requests to
-	// share its message.
-	batchDelay = 4 * time.Millisecond
-	// aheadDelay is the same for a request for tokens ahead only.
+	// aheadDelay is how long a request for tokens ahead waits for a message to the same owner.
 	aheadDelay = 50 * time.Millisecond
+	// behindRetry is the time between two looks for an owner while all have an older
+	// configuration.
+	behindRetry = 4 * time.Millisecond
 	// answerTimeout is after how long without an answer the next owner is asked. An answer
 	// takes about a millisecond.
 	answerTimeout = 20 * time.Millisecond
@@ -111,7 +111,7 @@
 }
 
 // Take decides about a new request of a customer with a quota. If the outcome is Waiting, a
-// Step will settle the ticket.
+// Step will settle the ticket. A Step at the same time sends the request for its token.
 func (le *Ledger) Take(now time.Time, name string) (Verdict, uint64) {
 	ac := le.account(name)
 	ac.demand.add(now, 1)
@@ -129,7 +129,9 @@
 	le.nextID++
 	ac.waiting = append(ac.waiting, waiter{ticket: le.nextID, since: now})
 	le.tickets[le.nextID] = ac
-	le.enqueue(now, ac, batchDelay)
+	if ac.asked == 0 { // Otherwise the answer that is under way makes a Step look at it.
+		le.enqueue(now, ac, 0)
+	}
 	return Verdict{}, le.nextID
 }
 
@@ -141,7 +143,7 @@
 	ac := le.account(name)
 	ac.add(lot{count: 1, expires: expires})
 	if len(ac.waiting) > 0 {
-		le.enqueue(now, ac, batchDelay)
+		le.enqueue(now, ac, 0)
 	}
 }
 
@@ -224,7 +226,7 @@
 		}
 		le.settle(now, ac)
 		if len(ac.waiting) > ac.asked {
-			le.enqueue(now, ac, 0) // The requests have waited for batchDelay already.
+			le.enqueue(now, ac, 0)
 		}
 	}
 }
@@ -252,11 +254,14 @@
 
 // enqueue makes a Step look at an account, after a delay at the latest.
 func (le *Ledger) enqueue(now time.Time, ac *account, delay time.Duration) {
+	due := now.Add(delay)
 	if !ac.queued {
-		ac.queued = true
+		ac.queued, ac.due = true, due
 		le.queue = append(le.queue, ac)
+	} else if due.Before(ac.due) {
+		ac.due = due
 	}
-	le.flushBy(now.Add(delay))
+	le.flushBy(due)
 }
 
 func (le *Ledger) flushBy(at time.Time) {
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -5,16 +5,31 @@
 	"time"
 )
 
-// flush decides what to ask for the queued accounts, one message for each owner.
+// flush decides what to ask for the queued accounts, one message for each owner. An account
+// that is not due yet has its say if there is a message to its owner anyway.
 func (le *Ledger) flush(now time.Time) []Ask {
 	queue := le.queue
 	le.queue, le.flushAt = nil, time.Time{}
 	var open []*pendingAsk
+	var notDue []*account
 	for _, ac := range queue {
+		if now.Before(ac.due) {
+			notDue = append(notDue, ac)
+			continue
+		}
 		ac.queued = false
 		le.settle(now, ac)
 		open = le.plan(now, ac, open)
 	}
+	for _, ac := range notDue {
+		if ow, ok := le.choose(now, ac); ok && indexOfOwner(open, ow) >= 0 {
+			ac.queued = false
+			open = le.plan(now, ac, open)
+			continue
+		}
+		le.queue = append(le.queue, ac)
+		le.flushBy(ac.due)
+	}
 	asks := make([]Ask, 0, len(open))
 	for _, pe := range open {
 		as := Ask{Owner: pe.owner, ID: pe.id, Version: le.version}
@@ -43,7 +58,7 @@
 	if !ok {
 		return open
 	}
-	ix := slices.IndexFunc(open, func(pe *pendingAsk) bool { return pe.owner.Address == ow.Address })
+	ix := indexOfOwner(open, ow)
 	if ix < 0 {
 		le.nextID++
 		ix = len(open)
@@ -56,6 +71,11 @@
 	return open
 }
 
+// indexOfOwner returns the index of the request to an owner, or -1.
+func indexOfOwner(open []*pendingAsk, ow OwnerRef) int {
+	return slices.IndexFunc(open, func(pe *pendingAsk) bool { return pe.owner.Address == ow.Address })
+}
+
 // noOwnerLeft handles requests for which no owner can be asked now. They go on waiting for
 // an unanswered request, or for an owner that is about to have the configuration.
 func (le *Ledger) noOwnerLeft(now time.Time, ac *account) {
@@ -63,7 +83,7 @@
 		return // Its answer or its timeout decides.
 	}
 	if le.anyBehind() && now.Sub(ac.waiting[0].since) < maxWait {
-		le.enqueue(now, ac, batchDelay)
+		le.enqueue(now, ac, behindRetry)
 		return
 	}
 	vd := le.refuse(now, ac)
--- a/tier/quotas.go
+++ b/tier/quotas.go
@@ -194,11 +194,29 @@
 // holds the lock; sending does not block.
 func (qc *quotaClient) step() {
 	now := qc.ts.Now()
+	// An owner to which nothing can be sent is skipped, and the next one is asked at once.
+	for qc.exchange(now) {
+	}
+	at := qc.le.WakeAt(now)
+	if at.IsZero() || !qc.wakeAt.IsZero() && !at.Before(qc.wakeAt) {
+		return
+	}
+	qc.wakeAt = at
+	if qc.wake == nil {
+		qc.wake = qc.ts.Timeout(max(0, at.Sub(now)), qc.wakeUp)
+	} else {
+		qc.wake.Reset(max(0, at.Sub(now)))
+	}
+}
+
+// exchange runs the ledger once. It reports whether a request could not be sent.
+func (qc *quotaClient) exchange(now time.Time) (failed bool) {
 	asks, settled := qc.le.Step(now)
 	for _, as := range asks {
 		qc.mt.requests.Inc()
 		if !qc.su.SendQuotaRequest(as.Owner.Address, feed.QuotaRequest{ID: as.ID, Version: as.Version, Wants: as.Wants}) {
 			qc.le.SendFailed(now, as.ID)
+			failed = true
 		}
 	}
 	for _, se := range settled {
@@ -207,16 +225,7 @@
 			ch <- se.Verdict
 		}
 	}
-	at := qc.le.WakeAt(now)
-	if at.IsZero() || !qc.wakeAt.IsZero() && !at.Before(qc.wakeAt) {
-		return
-	}
-	qc.wakeAt = at
-	if qc.wake == nil {
-		qc.wake = qc.ts.Timeout(max(0, at.Sub(now)), qc.wakeUp)
-	} else {
-		qc.wake.Reset(max(0, at.Sub(now)))
-	}
+	return failed
 }
 
 // note counts a verdict and writes a line if a customer starts being refused.
