quota: grant for 1.5 s after a start without contact with the leader

After a loss of power of all instances, entry instances served 0.8 s before an owner had heard from a leader, and refused requests of customers with a quota. A voter that found itself in the voter set on its own disk now grants without contact for startGrace (1.5 s), from half of its share.

--- a/quota/bound_test.go
+++ b/quota/bound_test.go
@@ -47,7 +47,24 @@
 		for range rapid.IntRange(0, 8).Draw(rt, "faults") {
 			at := time.Duration(rapid.IntRange(0, 12000).Draw(rt, "at")) * time.Millisecond
 			owner, entry := rapid.IntRange(0, voters-1).Draw(rt, "owner"), rapid.IntRange(0, 5).Draw(rt, "entry")
-			switch rapid.SampledFrom([]string{"kill", "restart", "freeze", "cut", "replace", "entry killed", "entry added", "link cut", "customer removed"}).Draw(rt, "fault") {
+			switch rapid.SampledFrom([]string{"kill", "restart", "freeze", "cut", "replace", "entry killed", "entry added", "link cut", "customer removed", "power lost", "replaced voter restarts"}).Draw(rt, "fault") {
+			case "power lost":
+				if restarts += voters; restarts <= 9 {
+					mo.after(at, func() {
+						for ix := range mo.owners {
+							mo.restartAlone(ix, time.Duration(mo.random.IntN(2500))*time.Millisecond)
+						}
+					})
+				}
+			case "replaced voter restarts":
+				if restarts++; restarts <= 5 {
+					mo.after(at, func() {
+						mo.owners[owner].dead = true
+						mo.lose(owner)
+						mo.after(2500*time.Millisecond, func() { mo.replace(owner) })
+						mo.after(time.Duration(2500+mo.random.IntN(7000))*time.Millisecond, func() { mo.restartAlone(owner, 0) })
+					})
+				}
 			case "kill":
 				mo.after(at, func() { mo.owners[owner].dead = true })
 			case "restart":
@@ -87,6 +104,55 @@
 	})
 }
 
+// Guards against shares that are used twice after starts: voters that were replaced while
+// they were away come back with their disks and grant without contact, as many as a minority,
+// while all others grant their full shares to callers that use whatever is granted.
+func TestReplacedVotersComeBack(t *testing.T) {
+	for _, voters := range []int{1, 3, 5, 7, 9} {
+		qu := customer.Quota{Rate: 1000}
+		mo := newModel(1, voters, 10, map[string]customer.Quota{"k": qu})
+		mo.caller("k", 3*qu.Rate, mo.now.Add(16*time.Second), func() int { return mo.random.IntN(10) })
+		away := max(1, voters/2)
+		for ix := range away {
+			mo.after(time.Duration(ix+1)*time.Millisecond, func() {
+				mo.owners[ix].dead = true
+				mo.lose(ix)
+				mo.replace(ix)
+			})
+			mo.after(11*time.Second, func() { mo.restartAlone(ix, 0) })
+		}
+		mo.run(16 * time.Second)
+		over := excess(qu, mo.tally("k").admitted)
+		qt.Check(t, over <= 0, qt.IsTrue, qt.Commentf("%d voters: %.1f too many", voters, over))
+		li, st := testLimits, Standing{Voting: true, Voters: voters}
+		alone := 0.0
+		for range away {
+			ow := NewOwner(mo.now, li)
+			ow.SetQuotas(mo.now, 1, mo.quotas)
+			for at := time.Duration(0); at < 2*startGrace; at += time.Millisecond {
+				if grants, _ := ow.Grant(mo.now.Add(at), st, 1, []Want{{Customer: "k", Count: 1000}}); len(grants) > 0 {
+					alone += float64(grants[0].Count)
+				}
+			}
+		}
+		qt.Check(t, alone <= float64(away)+graceUse*li.Overage*li.Window.Seconds()*qu.Rate+1e-6, qt.IsTrue, qt.Commentf("%d voters: %v without contact", voters, alone))
+	}
+}
+
+// Guards against a customer whose requests are refused after a loss of power of all instances
+// until there is a leader again.
+func TestGrantsBeforeLeaderIsElected(t *testing.T) {
+	qu := customer.Quota{Rate: 8, Burst: 8}
+	mo := newModel(1, 5, 83, map[string]customer.Quota{"k": qu})
+	for ix := range mo.owners {
+		mo.restartAlone(ix, 800*time.Millisecond)
+	}
+	mo.caller("k", 5, mo.now.Add(3*time.Second), func() int { return mo.random.IntN(83) })
+	mo.run(4 * time.Second)
+	ta := mo.tally("k")
+	qt.Assert(t, ta.sent > 0 && ta.refused == 0, qt.IsTrue, qt.Commentf("%d of %d refused", ta.refused, ta.sent))
+}
+
 // Guards against a bucket that is lowered late or refilled when its quota changes: after the
 // change, an owner must grant at most the new share; a raised quota must be granted without
 // a restart.
@@ -147,23 +213,29 @@
 	good := Standing{Voting: true, Voters: 5, LastContact: now}
 	for _, tt := range []struct {
 		name    string
-		change  func(st *Standing)
+		change  func(st *Standing, now *time.Time)
 		version uint64
 		want    Refusal
 	}{
-		{"voter", func(*Standing) {}, 1, None},
-		{"no voter", func(st *Standing) { st.Voting = false }, 1, NotVoting},
-		{"new voter", func(st *Standing) { st.Since = now.Add(-JoinDelay + 1) }, 1, NotVoting},
-		{"voter for long enough", func(st *Standing) { st.Since = now.Add(-JoinDelay) }, 1, None},
-		{"never in contact", func(st *Standing) { st.LastContact = time.Time{} }, 1, NoContact},
-		{"contact lost", func(st *Standing) { st.LastContact = now.Add(-ContactTimeout) }, 1, NoContact},
-		{"older configuration", func(*Standing) {}, 2, Behind},
+		{"voter", func(*Standing, *time.Time) {}, 1, None},
+		{"no voter", func(st *Standing, _ *time.Time) { st.Voting = false }, 1, NotVoting},
+		{"new voter", func(st *Standing, now *time.Time) { st.Since = (*now).Add(-JoinDelay + 1) }, 1, NotVoting},
+		{"voter for long enough", func(st *Standing, now *time.Time) { st.Since = (*now).Add(-JoinDelay) }, 1, None},
+		{"never in contact", func(st *Standing, _ *time.Time) { st.LastContact = time.Time{} }, 1, NoContact},
+		{"just started", func(st *Standing, now *time.Time) { st.LastContact, *now = time.Time{}, start.Add(startGrace-1) }, 1, None},
+		{"grace over", func(st *Standing, now *time.Time) { st.LastContact, *now = time.Time{}, start.Add(startGrace) }, 1, NoContact},
+		{"just started, suspended", func(st *Standing, now *time.Time) {
+			st.Since, st.LastContact, *now = start.Add(-JoinDelay), time.Time{}, start.Add(startGrace-1)
+		}, 1, NoContact},
+		{"contact lost", func(st *Standing, now *time.Time) { st.LastContact = (*now).Add(-ContactTimeout) }, 1, NoContact},
+		{"older configuration", func(*Standing, *time.Time) {}, 2, Behind},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			ow := NewOwner(start, testLimits)
 			ow.SetQuotas(start, 1, map[string]customer.Quota{"k": {Rate: 10}})
+			now := now
 			st := good
-			tt.change(&st)
+			tt.change(&st, &now)
 			_, re := ow.Grant(now, st, tt.version, []Want{{Customer: "k", Count: 1}})
 			qt.Assert(t, re, qt.Equals, tt.want)
 		})
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,14 +17,16 @@
 	unusedSince time.Time // when the customer lost its quota; zero if it has one
 }
 
-// refill adds the tokens since the last refill and lowers the level to the capacity. The
+// refill adds the given part of the tokens since the last refill and lowers the level to the capacity. The
 // capacity is a whole token above the share of the burst, since a smaller bucket would never
 // hold a token of a customer without a burst.
-func (bu *bucket) refill(now time.Time, voters int, reserve float64) {
+func (bu *bucket) refill(now time.Time, voters int, part, reserve float64) {
 	rate := bu.quota.Rate / float64(voters)
 	bu.capacity = bu.quota.Burst/float64(voters) + 1 + reserve*rate
-	bu.level = min(bu.capacity, bu.level+rate*max(0, now.Sub(bu.at).Seconds()))
-	bu.at = now
+	bu.level = min(bu.capacity, bu.level+part*rate*max(0, now.Sub(bu.at).Seconds()))
+	if now.After(bu.at) {
+		bu.at = now
+	}
 }
 
 // take removes up to count whole tokens and returns their number.
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -335,6 +335,19 @@
 	mo.owners[owner] = ow
 }
 
+// restartAlone replaces the process of an owner, which hears the leader again after a while,
+// unless it was lost or removed.
+func (mo *model) restartAlone(owner int, span time.Duration) {
+	voters := mo.voters()
+	if was := mo.owners[owner]; was.lost {
+		voters = was.st.Voters
+	}
+	mo.restart(owner)
+	ow := mo.owners[owner]
+	ow.contact, ow.st.Voters = false, voters
+	mo.after(span, func() { ow.contact = !ow.lost })
+}
+
 // caller makes requests of a customer at random times until a time. The entry instance of a
 // request is drawn by entry.
 func (mo *model) caller(name string, rate float64, until time.Time, entry func() int) {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -107,7 +107,7 @@
 	switch {
 	case !st.Voting || !st.Since.IsZero() && now.Sub(st.Since) < JoinDelay || st.Voters <= 0:
 		return NotVoting
-	case st.LastContact.IsZero() || now.Sub(st.LastContact) >= ContactTimeout:
+	case !st.inContact(now) && !ow.inGrace(now, st):
 		return NoContact
 	case ow.version < version:
 		return Behind
@@ -115,6 +115,18 @@
 	return None
 }
 
+// inContact reports whether the owner has heard from the leader within ContactTimeout.
+func (st Standing) inContact(now time.Time) bool {
+	return !st.LastContact.IsZero() && now.Sub(st.LastContact) < ContactTimeout
+}
+
+// inGrace reports whether an owner that has had no contact since its process started may
+// grant: it found itself in the voter set on its own disk, and startGrace is not over. A
+// process that was suspended has a time in Standing.Since.
+func (ow *Owner) inGrace(now time.Time, st Standing) bool {
+	return st.Since.IsZero() && st.LastContact.IsZero() && now.Sub(ow.startedAt) < startGrace
+}
+
 // Grant answers the request of an entry instance whose configuration has the given version.
 // There is one Grant for each Want, unless there is a Refusal.
 func (ow *Owner) Grant(now time.Time, st Standing, version uint64, wants []Want) ([]Grant, Refusal) {
@@ -130,12 +142,12 @@
 	}
 	grants := make([]Grant, len(wants))
 	for ix, wa := range wants {
-		grants[ix] = ow.grant(now, st.Voters, wa)
+		grants[ix] = ow.grant(now, st, wa)
 	}
 	return grants, None
 }
 
-func (ow *Owner) grant(now time.Time, voters int, wa Want) Grant {
+func (ow *Owner) grant(now time.Time, st Standing, wa Want) Grant {
 	if qu, ok := ow.quotas[wa.Customer]; ok && !qu.Bounded() {
 		return Grant{Count: wa.Count + wa.Ahead}
 	}
@@ -143,7 +155,14 @@
 	if bu == nil {
 		return Grant{RetryMillis: millis(minRetrySpread)}
 	}
-	bu.refill(now, voters, ow.li.reserve())
+	voters, reserve := st.Voters, ow.li.reserve()
+	if st.inContact(now) {
+		bu.refill(now, voters, 1, reserve)
+	} else if until := ow.startedAt.Add(ow.li.graceRefill(voters)); until.Before(now) {
+		bu.refill(until, voters, graceShare, reserve)
+	} else {
+		bu.refill(now, voters, graceShare, reserve)
+	}
 	count := bu.take(wa.Count)
 	if count < wa.Count {
 		spread := max(minRetrySpread, time.Duration(ow.entries)*retrySpreadPerEntry)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,7 +18,7 @@
 	Slack   float64 // requests
 }
 
-// Shares of Overage x Window that the design uses. The sum must be below 1.
+// Shares of Overage x Window that the design uses. The sum must be at most 1.
 const (
 	// ttlShare is used by tokens that were granted before a window and are spent in it.
 	ttlShare = 0.8
@@ -26,8 +26,19 @@
 	// ask in batches, and a bucket of a high rate without a burst would be full between two
 	// of them.
 	reserveShare = 0.1
+	// graceUse is used by voters that have just started and have no contact with the leader.
+	// They may have been replaced while they were away, so that another voter grants their
+	// shares, too.
+	graceUse = 0.1
 )
 
+// startGrace is for how long a voter grants without contact after its process started. After
+// a loss of power of all instances, a leader is elected within it.
+const startGrace = 1500 * time.Millisecond
+
+// graceShare is the part of its share from which a voter grants without contact.
+const graceShare = 0.5
+
 // maxTokenTTL bounds the validity of tokens. Longer ones save messages and are lost when the
 // callers of a customer move to other instances.
 const maxTokenTTL = 400 * time.Millisecond
@@ -43,6 +54,16 @@
 // reserve returns the seconds of refill that a bucket holds beyond the burst.
 func (li Limits) reserve() float64 { return reserveShare * li.Overage * li.Window.Seconds() }
 
+// graceRefill returns for how much of startGrace the buckets of an owner without contact are
+// refilled. Owners without contact may exceed the bound by graceShare of a share in this time
+// if they were replaced while they were away; what all of them have is graceUse. As many as a
+// minority of the voters are counted, since a group without a majority can replace none.
+func (li Limits) graceRefill(voters int) time.Duration {
+	away := max(1, voters/2)
+	rates := graceShare * float64(away) / float64(voters) // refill of all of them, as a part of the customer's rate
+	return min(startGrace, time.Duration(graceUse*li.Overage*float64(li.Window)/rates))
+}
+
 // Want is what an entry instance asks of an owner for one customer.
 type Want struct {
 	Customer string `cbor:"1,keyasint"`
--- a/tier/quotas_test.go
+++ b/tier/quotas_test.go
@@ -49,7 +49,7 @@
 // Guards against a break between the entry instances' ledgers, the links, the owners and the
 // group: two entry instances together get about the rate of a customer and no more than the
 // users' bound, an owner that ends takes only its share away, and without a majority nothing
-// is granted. The control instances say so in their logs and metrics.
+// is granted, except shortly after a start. The control instances say so in their logs and metrics.
 func TestQuotasEndToEnd(t *testing.T) {
 	qu := customer.Quota{Rate: 100, Burst: 20}
 	ix, err := customer.New([]customer.Customer{{Name: "k", Quota: qu}, {Name: "small", Quota: customer.Quota{Rate: 1, Burst: 1}}})
@@ -79,6 +79,10 @@
 	vd := clients[1].Take(t.Context(), 3, "k")
 	qt.Assert(t, vd.Outcome, qt.Equals, quota.NoOwner)
 	cl.await("the owner says why", func() bool { return logs.FilterMessage("quotas-not-granted").Len() > 0 })
+	// After a loss of power, a voter grants before there is a leader.
+	qt.Assert(t, cl.controls[2].shutdown(), qt.IsNil)
+	cl.start(cl.controls[2])
+	cl.await("a token is granted without a leader", func() bool { return clients[0].Take(t.Context(), 3, "k").Outcome == quota.Admitted })
 	_, text := cl.call(http.MethodGet, cl.controls[2].se.Metrics, tier.MetricsPath, nil)
 	qt.Assert(t, strings.Contains(string(text), `balsamwinch_quota_tokens_granted_total{customer="k"}`), qt.IsTrue)
 }
