quota, feed, tier: spare tokens for callers that send a request each second

Tokens ahead are valid for 400 ms, and callers send a request each second, so that nearly each request asked an owner and waited. Owners may grant spare tokens that are valid for 2.5 s, as long as those of a customer that they have outstanding stay within their part of what the bound leaves over (Limits.sparesPerOwner): 0.1 burst + 20 - 2n, two for each of five owners. They are taken from a bucket that is at least half full; none by an owner that started less than 2.5 s ago, or by a new voter while those of its predecessor may be valid. A Want and a Grant get a field Spare. An entry instance asks for as many as its demand has in a second.

Retry-After counted callers that were refused before the demand fell: 900 ms where the owner had a token after 100. A granted token now ends that queue (TestRetryAfterFollowsFallingDemand).

--- a/quota/account.go
+++ b/quota/account.go
@@ -20,7 +20,12 @@
 	noAhead    time.Time // until when no tokens are asked for ahead
 	aheadAsked bool      // a request ahead is unanswered
 	nextRetry  time.Time // when the caller that was refused last should come back
-	demand     meter
+	demand     meter     // over one second
+	steady     meter     // over spareDemandTime
+
+	noSpare       time.Time // until when no spare tokens are asked for
+	spareTurn     uint64    // varies which owner is asked for spare tokens
+	spareRefusals int       // owners that had no spare tokens since the last that had
 }
 
 // lot is a number of tokens with the same expiry.
@@ -35,15 +40,15 @@
 	since  time.Time
 }
 
-// meter measures how many events there are per second, with exponential decay over one
-// second.
+// meter measures how many events there are per second, with exponential decay over a time.
 type meter struct {
-	value float64
+	over  time.Duration
+	value float64 // per second
 	at    time.Time
 }
 
 func (me *meter) add(now time.Time, count float64) {
-	me.value = me.rate(now) + count
+	me.value = me.rate(now) + count/me.over.Seconds()
 	me.at = now
 }
 
@@ -51,7 +56,7 @@
 	if me.at.IsZero() {
 		return 0
 	}
-	return me.value * math.Exp(-now.Sub(me.at).Seconds())
+	return me.value * math.Exp(-now.Sub(me.at).Seconds()/me.over.Seconds())
 }
 
 // expire removes expired tokens.
@@ -97,14 +102,15 @@
 	return sum
 }
 
-// ahead returns how many tokens to ask for ahead: those that will be spent before they
-// expire. Half of a token is rounded up, because the owner grants only what it can spare.
-func (ac *account) ahead(now time.Time, ttl time.Duration) int {
+// ahead returns how many tokens to ask for ahead, besides spare ones: those that will be spent
+// before they expire. Half of a token is rounded up, because the owner grants only what it can
+// spare.
+func (ac *account) ahead(now time.Time, ttl time.Duration, spare int) int {
 	if now.Before(ac.noAhead) || ac.aheadAsked {
 		return 0
 	}
 	target := int(ac.demand.rate(now)*ttl.Seconds() + 0.5)
-	if have := ac.tokens(); 2*have <= target {
+	if have := ac.tokens() + spare; 2*have <= target {
 		return target - have
 	}
 	return 0
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -51,7 +51,7 @@
 
 // BenchmarkFleetMessages plays entry instances with 213 requests a second each, the share of
 // one of 891 instances in 190,000 requests a second, and reports the messages and customers
-// in them that each sends a second.
+// in them that each sends a second, and the part of the requests that waits for an answer.
 func BenchmarkFleetMessages(b *testing.B) {
 	const entries, perEntry, span = 30, 213, 4 * time.Second
 	for _, customers := range []int{86, 1000} {
@@ -63,6 +63,11 @@
 					mo.caller(name, 0.7*quotas[name].Rate, mo.now.Add(span), func() int { return mo.random.IntN(entries) })
 				}
 				mo.run(span)
+				sent, waited := 0, 0
+				for _, ta := range mo.results {
+					sent, waited = sent+ta.sent, waited+ta.waited
+				}
+				b.ReportMetric(float64(waited)/float64(sent), "waited/sent")
 				b.ReportMetric(float64(mo.asks)/span.Seconds()/entries, "requests/s")
 				b.ReportMetric(float64(mo.numWants)/float64(mo.asks), "customers/request")
 			}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -13,8 +13,9 @@
 	level       float64 // tokens
 	capacity    float64 // at the last refill
 	at          time.Time
-	nextRetry   time.Time // when the entry instance that was told last may ask again
-	unusedSince time.Time // when the customer lost its quota; zero if it has one
+	nextRetry   time.Time  // when the entry instance that was told last may ask again
+	spares      []spareLot // outstanding, the oldest first
+	unusedSince time.Time  // when the customer lost its quota; zero if it has one
 }
 
 // refill adds the given part of the tokens since the last refill and lowers the level to the capacity. The
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -69,6 +69,7 @@
 	ac    *account
 	count uint32
 	ahead uint32
+	spare uint32
 }
 
 // NewLedger returns the ledger of an entry instance that holds no tokens. The seed varies
@@ -115,9 +116,10 @@
 func (le *Ledger) Take(now time.Time, name string) (Verdict, uint64) {
 	ac := le.account(name)
 	ac.demand.add(now, 1)
+	ac.steady.add(now, 1)
 	if len(ac.waiting) == 0 {
 		if expires, ok := ac.spend(now); ok {
-			if ac.asked == 0 && ac.ahead(now, le.ttl) > 0 {
+			if sp := ac.spare(now); ac.asked == 0 && sp+ac.ahead(now, le.ttl, sp) > 0 {
 				le.enqueue(now, ac, aheadDelay)
 			}
 			return Verdict{Outcome: Admitted, Expires: expires}, 0
@@ -209,7 +211,7 @@
 		if !pe.overdue {
 			ac.asked -= int(it.count)
 		}
-		if it.ahead > 0 {
+		if it.ahead+it.spare > 0 {
 			ac.aheadAsked = false
 		}
 		if re == None {
@@ -217,6 +219,13 @@
 			if now.Before(expires) {
 				ac.add(lot{count: gr.Count, expires: expires})
 			}
+			if spareExpires := pe.sentAt.Add(spareTTL); now.Before(spareExpires) {
+				ac.add(lot{count: gr.Spare, expires: spareExpires})
+			}
+			ac.noteSpares(now, it.spare, gr.Spare, len(le.owners))
+			if it.count > 0 && gr.Count >= it.count {
+				ac.nextRetry = time.Time{} // Those that were refused before wait for nothing.
+			}
 			if gr.Count < it.count {
 				ac.setEmpty(pe.owner.Address, now.Add(time.Duration(gr.RetryMillis)*time.Millisecond))
 			}
@@ -227,6 +236,8 @@
 		le.settle(now, ac)
 		if len(ac.waiting) > ac.asked {
 			le.enqueue(now, ac, 0)
+		} else if re == None && grants[at].Spare < it.spare && ac.spare(now) > 0 {
+			le.enqueue(now, ac, aheadDelay)
 		}
 	}
 }
@@ -244,7 +255,10 @@
 	ac := le.accounts[name]
 	if ac == nil {
 		// All customers begin with the same owner, so that they share its messages.
-		ac = &account{name: name, turn: le.seed, emptyUntil: make(map[string]time.Time)}
+		ac = &account{
+			name: name, turn: le.seed, spareTurn: le.seed, emptyUntil: make(map[string]time.Time),
+			demand: meter{over: time.Second}, steady: meter{over: spareDemandTime},
+		}
 		le.accounts[name] = ac
 	}
 	return ac
@@ -304,7 +318,7 @@
 	}
 	for _, it := range pe.items {
 		it.ac.asked -= int(it.count)
-		if it.ahead > 0 {
+		if it.ahead+it.spare > 0 {
 			it.ac.aheadAsked = false
 		}
 		if len(it.ac.waiting) > 0 {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -31,6 +31,8 @@
 	Since time.Time
 	// Voters is the largest number of voters within the last JoinDelay.
 	Voters int
+	// SpareVoters is the largest number of voters within the last SpareVoterWindow.
+	SpareVoters int
 	// LastContact is when it last heard from the leader, or, while it leads, the send time
 	// of the newest message that a majority has acknowledged. Zero if never.
 	LastContact time.Time
@@ -149,7 +151,7 @@
 
 func (ow *Owner) grant(now time.Time, st Standing, wa Want) Grant {
 	if qu, ok := ow.quotas[wa.Customer]; ok && !qu.Bounded() {
-		return Grant{Count: wa.Count + wa.Ahead}
+		return Grant{Count: wa.Count + wa.Ahead + wa.Spare}
 	}
 	bu := ow.buckets[wa.Customer]
 	if bu == nil {
@@ -168,7 +170,8 @@
 		spread := max(minRetrySpread, time.Duration(ow.entries)*retrySpreadPerEntry)
 		return Grant{Count: count, RetryMillis: millis(bu.retryDelay(now, voters, spread))}
 	}
-	return Grant{Count: count + bu.takeSurplus(wa.Ahead)}
+	spare := bu.takeSpares(now, wa.Spare, ow.spareLimit(now, st, bu.quota))
+	return Grant{Count: count + bu.takeSurplus(wa.Ahead), Spare: spare}
 }
 
 // millis returns a duration in whole milliseconds, rounded up, at least 1.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -22,7 +22,7 @@
 		open = le.plan(now, ac, open)
 	}
 	for _, ac := range notDue {
-		if ow, ok := le.choose(now, ac); ok && indexOfOwner(open, ow) >= 0 {
+		if ow, ok := le.chooseAhead(now, ac, ac.spare(now)); ok && indexOfOwner(open, ow) >= 0 {
 			ac.queued = false
 			open = le.plan(now, ac, open)
 			continue
@@ -34,7 +34,7 @@
 	for _, pe := range open {
 		as := Ask{Owner: pe.owner, ID: pe.id, Version: le.version}
 		for _, it := range pe.items {
-			as.Wants = append(as.Wants, Want{Customer: it.ac.name, Count: it.count, Ahead: it.ahead})
+			as.Wants = append(as.Wants, Want{Customer: it.ac.name, Count: it.count, Ahead: it.ahead, Spare: it.spare})
 		}
 		asks = append(asks, as)
 		le.pending = append(le.pending, pe)
@@ -46,11 +46,15 @@
 // the requests that wait.
 func (le *Ledger) plan(now time.Time, ac *account, open []*pendingAsk) []*pendingAsk {
 	need := len(ac.waiting) - ac.asked
-	ahead := ac.ahead(now, le.ttl)
-	if need <= 0 && (ahead == 0 || ac.asked > 0) {
+	spare := ac.spare(now)
+	ahead := ac.ahead(now, le.ttl, spare)
+	if need <= 0 && (ahead+spare == 0 || ac.asked > 0) {
 		return open
 	}
 	ow, ok := le.choose(now, ac)
+	if need <= 0 {
+		ow, ok = le.chooseAhead(now, ac, spare)
+	}
 	if need > 0 && (!ok || now.Sub(ac.waiting[0].since) >= maxWait) {
 		le.noOwnerLeft(now, ac)
 		return open
@@ -64,10 +68,10 @@
 		ix = len(open)
 		open = append(open, &pendingAsk{id: le.nextID, owner: ow, sentAt: now})
 	}
-	it := askItem{ac: ac, count: uint32(max(0, need)), ahead: uint32(ahead)}
+	it := askItem{ac: ac, count: uint32(max(0, need)), ahead: uint32(ahead), spare: uint32(spare)}
 	open[ix].items = append(open[ix].items, it)
 	ac.asked += int(it.count)
-	ac.aheadAsked = ac.aheadAsked || ahead > 0
+	ac.aheadAsked = ac.aheadAsked || ahead+spare > 0
 	return open
 }
 
@@ -113,14 +117,28 @@
 // choose returns the owner to ask for a customer: one that is not known to be empty or
 // silent, in the same data centre if there is one. Several are asked in turn.
 func (le *Ledger) choose(now time.Time, ac *account) (OwnerRef, bool) {
+	return le.chooseFrom(now, ac, ac.turn, true)
+}
+
+// chooseAhead returns the owner to ask for tokens ahead. For spare ones, those in the same data
+// centre are not preferred: nobody waits for them, and each owner has few. All customers ask the
+// same owner in a second, to share its messages, and another one in the next.
+func (le *Ledger) chooseAhead(now time.Time, ac *account, spare int) (OwnerRef, bool) {
+	if spare > 0 {
+		return le.chooseFrom(now, ac, ac.spareTurn+uint64(now.Unix()), false)
+	}
+	return le.choose(now, ac)
+}
+
+func (le *Ledger) chooseFrom(now time.Time, ac *account, turn uint64, nearFirst bool) (OwnerRef, bool) {
 	best, bestRank := -1, uint64(0)
 	count := uint64(max(1, len(le.owners)))
 	for ix, ow := range le.owners {
 		if now.Before(le.states[ow.Address].skipUntil) || now.Before(ac.emptyUntil[ow.Address]) {
 			continue
 		}
-		rank := (uint64(ix) + ac.turn) % count
-		if !ow.Near {
+		rank := (uint64(ix) + turn) % count
+		if nearFirst && !ow.Near {
 			rank += count
 		}
 		if best < 0 || rank < bestRank {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -72,6 +72,9 @@
 	// while the bucket is at least half full: a customer near its quota must not lose tokens
 	// that expire unused.
 	Ahead uint32 `cbor:"3,keyasint,omitempty"`
+	// Spare are further tokens that stay valid for spareTTL. They are granted only while the
+	// bucket is at least half full and the owner has few of them outstanding.
+	Spare uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant answers a Want.
@@ -79,6 +82,8 @@
 	Count uint32 `cbor:"1,keyasint,omitempty"` // tokens
 	// RetryMillis is after how many milliseconds to ask again; 0 if Want.Count was granted.
 	RetryMillis uint32 `cbor:"2,keyasint,omitempty"`
+	// Spare are tokens besides Count that are valid for spareTTL after the Want was sent.
+	Spare uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Refusal is why an owner grants nothing to anyone.
--- a/tier/quotameters.go
+++ b/tier/quotameters.go
@@ -99,7 +99,7 @@
 		om.grants.Inc()
 	}
 	for ix, gr := range grants {
-		om.cc.add(tokensGranted, rq.Wants[ix].Customer, int(gr.Count))
+		om.cc.add(tokensGranted, rq.Wants[ix].Customer, int(gr.Count+gr.Spare))
 	}
 }
 
--- a/tier/quotas.go
+++ b/tier/quotas.go
@@ -61,7 +61,10 @@
 // grant answers an entry instance's request for tokens.
 func (qo *quotaOwner) grant(_ string, rq feed.QuotaRequest) feed.QuotaGrant {
 	now, fs := qo.ts.Now(), qo.standing()
-	st := quota.Standing{Voting: fs.Voting, Since: fs.Since, Voters: fs.MaxVoters(now, quota.JoinDelay), LastContact: fs.LastContact}
+	st := quota.Standing{
+		Voting: fs.Voting, Since: fs.Since, LastContact: fs.LastContact,
+		Voters: fs.MaxVoters(now, quota.JoinDelay), SpareVoters: fs.MaxVoters(now, quota.SpareVoterWindow),
+	}
 	qo.mu.Lock()
 	defer qo.mu.Unlock()
 	qo.ow.SetEntries(len(qo.entries()))
