--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// batchDelay is how long a request for tokens waits for other customers and requests to
-	// share its message.
-	batchDelay = 4 * time.Millisecond
-	// aheadDelay is the same for a request for tokens ahead only.
+	// aheadDelay is how long a request for tokens ahead waits for a message to the same owner.
 	aheadDelay = 50 * time.Millisecond
+	// behindRetry is the time between two looks for an owner while all have an older
+	// configuration.
+	behindRetry = 4 * time.Millisecond
 	// answerTimeout is after how long without an answer the next owner is asked. An answer
 	// takes about a millisecond.
 	answerTimeout = 20 * time.Millisecond
@@ -69,6 +69,7 @@
 	ac    *account
 	count uint32
 	ahead uint32
+	spare uint32
 }
 
 // NewLedger returns the ledger of an entry instance that holds no tokens. The seed varies
@@ -111,13 +112,14 @@
 }
 
 // Take decides about a new request of a customer with a quota. If the outcome is Waiting, a
-// Step will settle the ticket.
+// Step will settle the ticket. A Step at the same time sends the request for its token.
 func (le *Ledger) Take(now time.Time, name string) (Verdict, uint64) {
 	ac := le.account(name)
 	ac.demand.add(now, 1)
+	ac.steady.add(now, 1)
 	if len(ac.waiting) == 0 {
 		if expires, ok := ac.spend(now); ok {
-			if ac.asked == 0 && ac.ahead(now, le.ttl) > 0 {
+			if sp := ac.spare(now); ac.asked == 0 && sp+ac.ahead(now, le.ttl, sp) > 0 {
 				le.enqueue(now, ac, aheadDelay)
 			}
 			return Verdict{Outcome: Admitted, Expires: expires}, 0
@@ -129,7 +131,9 @@
 	le.nextID++
 	ac.waiting = append(ac.waiting, waiter{ticket: le.nextID, since: now})
 	le.tickets[le.nextID] = ac
-	le.enqueue(now, ac, batchDelay)
+	if ac.asked == 0 { // Otherwise the answer that is under way makes a Step look at it.
+		le.enqueue(now, ac, 0)
+	}
 	return Verdict{}, le.nextID
 }
 
@@ -141,7 +145,7 @@
 	ac := le.account(name)
 	ac.add(lot{count: 1, expires: expires})
 	if len(ac.waiting) > 0 {
-		le.enqueue(now, ac, batchDelay)
+		le.enqueue(now, ac, 0)
 	}
 }
 
@@ -207,7 +211,7 @@
 		if !pe.overdue {
 			ac.asked -= int(it.count)
 		}
-		if it.ahead > 0 {
+		if it.ahead+it.spare > 0 {
 			ac.aheadAsked = false
 		}
 		if re == None {
@@ -215,6 +219,13 @@
 			if now.Before(expires) {
 				ac.add(lot{count: gr.Count, expires: expires})
 			}
+			if spareExpires := pe.sentAt.Add(spareTTL); now.Before(spareExpires) {
+				ac.add(lot{count: gr.Spare, expires: spareExpires})
+			}
+			ac.noteSpares(now, it.spare, gr.Spare, len(le.owners))
+			if it.count > 0 && gr.Count >= it.count {
+				ac.nextRetry = time.Time{} // Those that were refused before wait for nothing.
+			}
 			if gr.Count < it.count {
 				ac.setEmpty(pe.owner.Address, now.Add(time.Duration(gr.RetryMillis)*time.Millisecond))
 			}
@@ -224,7 +235,9 @@
 		}
 		le.settle(now, ac)
 		if len(ac.waiting) > ac.asked {
-			le.enqueue(now, ac, 0) // The requests have waited for batchDelay already.
+			le.enqueue(now, ac, 0)
+		} else if re == None && grants[at].Spare < it.spare && ac.spare(now) > 0 {
+			le.enqueue(now, ac, aheadDelay)
 		}
 	}
 }
@@ -242,7 +255,10 @@
 	ac := le.accounts[name]
 	if ac == nil {
 		// All customers begin with the same owner, so that they share its messages.
-		ac = &account{name: name, turn: le.seed, emptyUntil: make(map[string]time.Time)}
+		ac = &account{
+			name: name, turn: le.seed, spareTurn: le.seed, emptyUntil: make(map[string]time.Time),
+			demand: meter{over: time.Second}, steady: meter{over: spareDemandTime},
+		}
 		le.accounts[name] = ac
 	}
 	return ac
@@ -252,11 +268,14 @@
 
 // enqueue makes a Step look at an account, after a delay at the latest.
 func (le *Ledger) enqueue(now time.Time, ac *account, delay time.Duration) {
+	due := now.Add(delay)
 	if !ac.queued {
-		ac.queued = true
+		ac.queued, ac.due = true, due
 		le.queue = append(le.queue, ac)
+	} else if due.Before(ac.due) {
+		ac.due = due
 	}
-	le.flushBy(now.Add(delay))
+	le.flushBy(due)
 }
 
 func (le *Ledger) flushBy(at time.Time) {
@@ -299,7 +318,7 @@
 	}
 	for _, it := range pe.items {
 		it.ac.asked -= int(it.count)
-		if it.ahead > 0 {
+		if it.ahead+it.spare > 0 {
 			it.ac.aheadAsked = false
 		}
 		if len(it.ac.waiting) > 0 {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -31,6 +31,8 @@
 	Since time.Time
 	// Voters is the largest number of voters within the last JoinDelay.
 	Voters int
+	// SpareVoters is the largest number of voters within the last SpareVoterWindow.
+	SpareVoters int
 	// LastContact is when it last heard from the leader, or, while it leads, the send time
 	// of the newest message that a majority has acknowledged. Zero if never.
 	LastContact time.Time
@@ -107,7 +109,7 @@
 	switch {
 	case !st.Voting || !st.Since.IsZero() && now.Sub(st.Since) < JoinDelay || st.Voters <= 0:
 		return NotVoting
-	case st.LastContact.IsZero() || now.Sub(st.LastContact) >= ContactTimeout:
+	case !st.inContact(now) && !ow.inGrace(now, st):
 		return NoContact
 	case ow.version < version:
 		return Behind
@@ -115,6 +117,18 @@
 	return None
 }
 
+// inContact reports whether the owner has heard from the leader within ContactTimeout.
+func (st Standing) inContact(now time.Time) bool {
+	return !st.LastContact.IsZero() && now.Sub(st.LastContact) < ContactTimeout
+}
+
+// inGrace reports whether an owner that has had no contact since its process started may
+// grant: it found itself in the voter set on its own disk, and startGrace is not over. A
+// process that was suspended has a time in Standing.Since.
+func (ow *Owner) inGrace(now time.Time, st Standing) bool {
+	return st.Since.IsZero() && st.LastContact.IsZero() && now.Sub(ow.startedAt) < startGrace
+}
+
 // Grant answers the request of an entry instance whose configuration has the given version.
 // There is one Grant for each Want, unless there is a Refusal.
 func (ow *Owner) Grant(now time.Time, st Standing, version uint64, wants []Want) ([]Grant, Refusal) {
@@ -130,26 +144,34 @@
 	}
 	grants := make([]Grant, len(wants))
 	for ix, wa := range wants {
-		grants[ix] = ow.grant(now, st.Voters, wa)
+		grants[ix] = ow.grant(now, st, wa)
 	}
 	return grants, None
 }
 
-func (ow *Owner) grant(now time.Time, voters int, wa Want) Grant {
+func (ow *Owner) grant(now time.Time, st Standing, wa Want) Grant {
 	if qu, ok := ow.quotas[wa.Customer]; ok && !qu.Bounded() {
-		return Grant{Count: wa.Count + wa.Ahead}
+		return Grant{Count: wa.Count + wa.Ahead + wa.Spare}
 	}
 	bu := ow.buckets[wa.Customer]
 	if bu == nil {
 		return Grant{RetryMillis: millis(minRetrySpread)}
 	}
-	bu.refill(now, voters, ow.li.reserve())
+	voters, reserve := st.Voters, ow.li.reserve()
+	if st.inContact(now) {
+		bu.refill(now, voters, 1, reserve)
+	} else if until := ow.startedAt.Add(ow.li.graceRefill(voters)); until.Before(now) {
+		bu.refill(until, voters, graceShare, reserve)
+	} else {
+		bu.refill(now, voters, graceShare, reserve)
+	}
 	count := bu.take(wa.Count)
 	if count < wa.Count {
 		spread := max(minRetrySpread, time.Duration(ow.entries)*retrySpreadPerEntry)
 		return Grant{Count: count, RetryMillis: millis(bu.retryDelay(now, voters, spread))}
 	}
-	return Grant{Count: count + bu.takeSurplus(wa.Ahead)}
+	spare := bu.takeSpares(now, wa.Spare, ow.spareLimit(now, st, bu.quota))
+	return Grant{Count: count + bu.takeSurplus(wa.Ahead), Spare: spare}
 }
 
 // millis returns a duration in whole milliseconds, rounded up, at least 1.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -5,21 +5,36 @@
 	"time"
 )
 
-// flush decides what to ask for the queued accounts, one message for each owner.
+// flush decides what to ask for the queued accounts, one message for each owner. An account
+// that is not due yet has its say if there is a message to its owner anyway.
 func (le *Ledger) flush(now time.Time) []Ask {
 	queue := le.queue
 	le.queue, le.flushAt = nil, time.Time{}
 	var open []*pendingAsk
+	var notDue []*account
 	for _, ac := range queue {
+		if now.Before(ac.due) {
+			notDue = append(notDue, ac)
+			continue
+		}
 		ac.queued = false
 		le.settle(now, ac)
 		open = le.plan(now, ac, open)
 	}
+	for _, ac := range notDue {
+		if ow, ok := le.chooseAhead(now, ac, ac.spare(now)); ok && indexOfOwner(open, ow) >= 0 {
+			ac.queued = false
+			open = le.plan(now, ac, open)
+			continue
+		}
+		le.queue = append(le.queue, ac)
+		le.flushBy(ac.due)
+	}
 	asks := make([]Ask, 0, len(open))
 	for _, pe := range open {
 		as := Ask{Owner: pe.owner, ID: pe.id, Version: le.version}
 		for _, it := range pe.items {
-			as.Wants = append(as.Wants, Want{Customer: it.ac.name, Count: it.count, Ahead: it.ahead})
+			as.Wants = append(as.Wants, Want{Customer: it.ac.name, Count: it.count, Ahead: it.ahead, Spare: it.spare})
 		}
 		asks = append(asks, as)
 		le.pending = append(le.pending, pe)
@@ -31,11 +46,15 @@
 // the requests that wait.
 func (le *Ledger) plan(now time.Time, ac *account, open []*pendingAsk) []*pendingAsk {
 	need := len(ac.waiting) - ac.asked
-	ahead := ac.ahead(now, le.ttl)
-	if need <= 0 && (ahead == 0 || ac.asked > 0) {
+	spare := ac.spare(now)
+	ahead := ac.ahead(now, le.ttl, spare)
+	if need <= 0 && (ahead+spare == 0 || ac.asked > 0) {
 		return open
 	}
 	ow, ok := le.choose(now, ac)
+	if need <= 0 {
+		ow, ok = le.chooseAhead(now, ac, spare)
+	}
 	if need > 0 && (!ok || now.Sub(ac.waiting[0].since) >= maxWait) {
 		le.noOwnerLeft(now, ac)
 		return open
@@ -43,19 +62,24 @@
 	if !ok {
 		return open
 	}
-	ix := slices.IndexFunc(open, func(pe *pendingAsk) bool { return pe.owner.Address == ow.Address })
+	ix := indexOfOwner(open, ow)
 	if ix < 0 {
 		le.nextID++
 		ix = len(open)
 		open = append(open, &pendingAsk{id: le.nextID, owner: ow, sentAt: now})
 	}
-	it := askItem{ac: ac, count: uint32(max(0, need)), ahead: uint32(ahead)}
+	it := askItem{ac: ac, count: uint32(max(0, need)), ahead: uint32(ahead), spare: uint32(spare)}
 	open[ix].items = append(open[ix].items, it)
 	ac.asked += int(it.count)
-	ac.aheadAsked = ac.aheadAsked || ahead > 0
+	ac.aheadAsked = ac.aheadAsked || ahead+spare > 0
 	return open
 }
 
+// indexOfOwner returns the index of the request to an owner, or -1.
+func indexOfOwner(open []*pendingAsk, ow OwnerRef) int {
+	return slices.IndexFunc(open, func(pe *pendingAsk) bool { return pe.owner.Address == ow.Address })
+}
+
 // noOwnerLeft handles requests for which no owner can be asked now. They go on waiting for
 // an unanswered request, or for an owner that is about to have the configuration.
 func (le *Ledger) noOwnerLeft(now time.Time, ac *account) {
@@ -63,7 +87,7 @@
 		return // Its answer or its timeout decides.
 	}
 	if le.anyBehind() && now.Sub(ac.waiting[0].since) < maxWait {
-		le.enqueue(now, ac, batchDelay)
+		le.enqueue(now, ac, behindRetry)
 		return
 	}
 	vd := le.refuse(now, ac)
@@ -93,14 +117,28 @@
 // choose returns the owner to ask for a customer: one that is not known to be empty or
 // silent, in the same data centre if there is one. Several are asked in turn.
 func (le *Ledger) choose(now time.Time, ac *account) (OwnerRef, bool) {
+	return le.chooseFrom(now, ac, ac.turn, true)
+}
+
+// chooseAhead returns the owner to ask for tokens ahead. For spare ones, those in the same data
+// centre are not preferred: nobody waits for them, and each owner has few. All customers ask the
+// same owner in a second, to share its messages, and another one in the next.
+func (le *Ledger) chooseAhead(now time.Time, ac *account, spare int) (OwnerRef, bool) {
+	if spare > 0 {
+		return le.chooseFrom(now, ac, ac.spareTurn+uint64(now.Unix()), false)
+	}
+	return le.choose(now, ac)
+}
+
+func (le *Ledger) chooseFrom(now time.Time, ac *account, turn uint64, nearFirst bool) (OwnerRef, bool) {
 	best, bestRank := -1, uint64(0)
 	count := uint64(max(1, len(le.owners)))
 	for ix, ow := range le.owners {
 		if now.Before(le.states[ow.Address].skipUntil) || now.Before(ac.emptyUntil[ow.Address]) {
 			continue
 		}
-		rank := (uint64(ix) + ac.turn) % count
-		if !ow.Near {
+		rank := (uint64(ix) + turn) % count
+		if nearFirst && !ow.Near {
 			rank += count
 		}
 		if best < 0 || rank < bestRank {
