gateway: callers over quota come back within a quarter of the target

They were told when a token is due for them, up to a second later, so that half of the tokens of a customer over its quota went to answers that came late.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -46,7 +46,9 @@
 		ca.token = vd.Expires
 		return true
 	case quota.OverQuota:
-		ca.setRetryAfter(vd.RetryAfter)
+		// A caller that comes back after the target latency would get its answer late, with a
+		// token that a new request could have used in time.
+		ca.setRetryAfter(min(vd.RetryAfter, ca.retryAfter()))
 		ca.respondError(http.StatusTooManyRequests, result.NotRunOverQuota, reasonOverQuota)
 	case quota.Waiting:
 		ca.callerLeft()
