--- a/tier/settings.go
+++ b/tier/settings.go
@@ -118,7 +118,6 @@
 		Budget: Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Warmup: Warmup{Overage: 1},
 		Quota:  Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
-		Stalls: Stalls{Shared: true},
 		Limits: MachineLimits{MemoryMegabytes: 256, Descriptors: 4096},
 	}
 }
