quota: refuse only overdue requests, do not wait for silent owners, no second burst

A review of the package found three faults. With one request overdue, all that waited were refused, also those that had just arrived. An owner that learned a customer's quota 4 to 5 s after its start gave it a full bucket, though it may have granted the burst before, within the same window of 5 s. Besides, accounts forget owners that are gone.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -96,6 +96,9 @@
 	maps.DeleteFunc(le.states, func(address string, _ *ownerState) bool {
 		return !slices.ContainsFunc(ows, func(ow OwnerRef) bool { return ow.Address == address })
 	})
+	for _, ac := range le.accounts {
+		maps.DeleteFunc(ac.emptyUntil, func(address string, _ time.Time) bool { return le.states[address] == nil })
+	}
 }
 
 // SetVersion sets the version of the configuration in force. What owners said about empty
@@ -314,7 +317,7 @@
 func (le *Ledger) overdue(now time.Time, pe *pendingAsk) {
 	pe.overdue = true
 	if st := le.states[pe.owner.Address]; st != nil {
-		st.silent, st.skipUntil = true, now.Add(silentSkip)
+		st.silent, st.refusal, st.skipUntil = true, None, now.Add(silentSkip)
 	}
 	for _, it := range pe.items {
 		it.ac.asked -= int(it.count)
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -98,7 +98,7 @@
 // firstLevel returns the level of a new bucket. An owner that has just started may have
 // granted the whole burst before, and does not know which customers are new.
 func (ow *Owner) firstLevel(now time.Time) float64 {
-	if now.Sub(ow.startedAt) < JoinDelay {
+	if now.Sub(ow.startedAt) < max(JoinDelay, ow.li.Window) {
 		return 1
 	}
 	return math.Inf(1) // The first refill lowers it to the capacity.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -55,10 +55,19 @@
 	if need <= 0 {
 		ow, ok = le.chooseAhead(now, ac, spare)
 	}
-	if need > 0 && (!ok || now.Sub(ac.waiting[0].since) >= maxWait) {
+	if need > 0 && !ok {
 		le.noOwnerLeft(now, ac)
 		return open
 	}
+	if need > 0 && now.Sub(ac.waiting[0].since) >= maxWait {
+		if ac.asked > 0 {
+			return open // Its answer or its timeout decides.
+		}
+		le.refuseOverdue(now, ac)
+		if need = len(ac.waiting); need == 0 {
+			return open
+		}
+	}
 	if !ok {
 		return open
 	}
@@ -90,15 +99,26 @@
 		le.enqueue(now, ac, behindRetry)
 		return
 	}
-	vd := le.refuse(now, ac)
-	for ix, wt := range ac.waiting {
-		if ix > 0 {
-			vd = le.refuse(now, ac)
-		}
+	le.refuseFirst(now, ac, len(ac.waiting))
+}
+
+// refuseOverdue refuses the requests that have waited for maxWait. Others, which may have
+// just arrived, go on.
+func (le *Ledger) refuseOverdue(now time.Time, ac *account) {
+	count := slices.IndexFunc(ac.waiting, func(wt waiter) bool { return now.Sub(wt.since) < maxWait })
+	if count < 0 {
+		count = len(ac.waiting)
+	}
+	le.refuseFirst(now, ac, count)
+}
+
+// refuseFirst refuses the requests that have waited longest.
+func (le *Ledger) refuseFirst(now time.Time, ac *account, count int) {
+	for _, wt := range ac.waiting[:count] {
 		delete(le.tickets, wt.ticket)
-		le.settled = append(le.settled, Settled{Ticket: wt.ticket, Verdict: vd})
+		le.settled = append(le.settled, Settled{Ticket: wt.ticket, Verdict: le.refuse(now, ac)})
 	}
-	ac.waiting = nil
+	ac.waiting = ac.waiting[count:]
 }
 
 // settle gives the tokens of an account to the requests that wait.
