--- a/gateway/refused.go
+++ b/gateway/refused.go
@@ -44,12 +44,17 @@
 	refusers := ex.refusers[sh]
 	ex.tried[sh] = slices.DeleteFunc(ex.tried[sh], func(id string) bool { return slices.Contains(refusers, id) })
 	ex.refusers[sh] = nil
+	if ex.reasked == nil {
+		ex.reasked = make([]bool, len(ex.services))
+	}
+	ex.reasked[sh] = true
 }
 
-// deferOptionalRetry defers a retry that isn't needed for the minimum of parts while the
-// retry budget is low. It reports whether it did.
+// deferOptionalRetry defers a retry at servers that refused the part before, if the retry
+// isn't needed for the minimum of parts and the retry budget is low. It reports whether it
+// did. A first retry at another server isn't deferred: it mostly makes the answer complete.
 func (ex *executor) deferOptionalRetry(now time.Time, sa scatter.Attempt) bool {
-	if sa.Kind != scatter.Retry || len(ex.services) == 1 || !ex.needsBudget(sa) || ex.qu.NeedsRetries() {
+	if sa.Kind != scatter.Retry || ex.reasked == nil || !ex.reasked[sa.Shard] || !ex.needsBudget(sa) || ex.qu.NeedsRetries() {
 		return false
 	}
 	service := ex.services[sa.Shard]
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -46,6 +46,7 @@
 	replies  []*upstream.Reply // newest reply of each shard
 	tried    [][]string        // IDs of the backend servers that must not be asked now, for each shard
 	refusers [][]string        // IDs of those of tried that refused the request, for each shard
+	reasked  []bool            // whether servers that refused a shard may be asked again; nil if none
 	picks    []replica.Pick    // newest attempt of each shard
 	arrived  []bool            // whether a request for the shard may have reached a backend server
 	attempts []attemptRecord   // all attempts of the request
@@ -141,13 +142,13 @@
 func (ex *executor) startAttempt(ctx context.Context, now time.Time, sa scatter.Attempt) {
 	sv := ex.ca.sv
 	service := ex.services[sa.Shard]
+	ex.allowRefusersAgain(sa.Shard)
 	if ex.deferOptionalRetry(now, sa) {
 		return
 	}
 	if sa.Kind == scatter.Hedge {
 		sv.re.Overdue(now, ex.picks[sa.Shard])
 	}
-	ex.allowRefusersAgain(sa.Shard)
 	rr := replica.Request{Service: service, Class: ex.ca.ro.Name, Avoid: ex.tried[sa.Shard], NoProbe: !ex.ca.repeatable() || ex.ca.probe, HedgeFraction: hedgeFraction(len(ex.services))}
 	pk, ok := ex.chooseServer(now, sa, rr)
 	if !ok {
