--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,22 +65,17 @@
 
 // serve answers a request under the table that was in force when it arrived.
 func (ca *call) serve() {
-	ro, ok := ca.tb.Match(ca.rq.Host, ca.rq.URL.EscapedPath())
-	if !ok {
-		ca.respondError(http.StatusNotFound, result.NotRunUnknownService, "no route for host and path")
-		return
-	}
-	ca.ro = ro
-	if !ca.authenticate() {
+	if !ca.resolve() {
 		return
 	}
 	if ca.id == "" {
 		ca.respondError(http.StatusBadRequest, result.NotRunBadRequest, "no request id")
 		return
 	}
-	if !ca.readBody() {
+	if !ca.readBody() || !ca.resolveAgain() {
 		return
 	}
+	ro := ca.ro
 	if !ca.checkQuarantine() {
 		return
 	}
@@ -106,6 +101,30 @@
 	ca.serveOne(services)
 }
 
+// resolve finds the route of the request and the customer that holds its API key. It reports
+// whether the request may go on, and answers it if not.
+func (ca *call) resolve() bool {
+	ro, ok := ca.tb.Match(ca.rq.Host, ca.rq.URL.EscapedPath())
+	if !ok {
+		ca.respondError(http.StatusNotFound, result.NotRunUnknownService, "no route for host and path")
+		return false
+	}
+	ca.ro = ro
+	return ca.authenticate()
+}
+
+// resolveAgain resolves the request under the table in force, if that has changed while the
+// body was read. A caller may send its body slowly, and its key may have been removed
+// meanwhile.
+func (ca *call) resolveAgain() bool {
+	tb := ca.sv.tb.Load()
+	if tb == ca.tb || len(ca.body) == 0 {
+		return true
+	}
+	ca.tb = tb
+	return ca.resolve()
+}
+
 // readBody reads the whole body, so that it can be sent again unchanged. It reports whether
 // that succeeded, and answers the request if not.
 func (ca *call) readBody() bool {
--- a/gateway/customer.go
+++ b/gateway/customer.go
@@ -22,6 +22,7 @@
 	if ix == nil {
 		return true
 	}
+	ca.customer = nil
 	key, reason := bearerKey(ca.rq.Header[headerAuthorization])
 	if reason == keyPresent {
 		if ca.customer, _ = ix.ByKey(key); ca.customer != nil {
--- a/gateway/customer_test.go
+++ b/gateway/customer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -242,6 +243,26 @@
 	})
 }
 
+// A caller sends its body slowly, and its key is removed meanwhile. The request must not run
+// once the body is complete.
+func TestKeyRemovedDuringBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, newMemNetwork(), setup{})
+		rg.startServers("s", 1)
+		rg.setTable(route.Route{Prefix: "/", Targets: singleTarget("s")})
+		rg.setCustomers(lindaAndOtter()...)
+		ca := rg.connect()
+		defer ca.leave()
+		rq := rg.register(request{uri: "/", method: http.MethodPost, lines: []string{"Authorization: Bearer " + lindaKey, "Content-Length: 2"}})
+		ca.write(rq)
+		synctest.Wait()
+		rg.setCustomers(customer.Customer{Name: "linda", Keys: []string{lindaKey2}})
+		_, _ = io.WriteString(ca.nc, "ab")
+		rg.checkStatus(ca.receive(rq), http.StatusUnauthorized)
+		qt.Assert(t, rg.hist.arrivalsOf(rq.id), qt.HasLen, 0)
+	})
+}
+
 // The order of the checks: without a configuration nothing is known about keys, so callers
 // must try another instance, and only a route determines whether a key is required. A
 // request without a key must be rejected before its body is read and a slot is taken.
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -186,7 +186,7 @@
 func (qu *Query) NeedsRetries() bool {
 	expected := qu.numParts
 	for index := range qu.shards {
-		if sh := &qu.shards[index]; !sh.hasPart && sh.inFlight > 0 {
+		if sh := &qu.shards[index]; !sh.hasPart && !sh.givenUp && sh.inFlight > 0 {
 			expected++
 		}
 	}
