gateway: rank the routes of a table only if admission levels are used

Each new table had all its routes copied and compared for admission levels, which are off by default; the check of levels now stands where the table is set. Two comments said the wrong thing: a request whose body comes slowly is answered under the table in force after it, and a query expires at its deadline even if enough parts are in. go test ./gateway passes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,7 +63,8 @@
 	ex         *executor // nil if no backend server was asked
 }
 
-// serve answers a request under the table that was in force when it arrived.
+// serve answers a request under the table that was in force when it arrived, or when its body
+// was complete if the table changed meanwhile.
 func (ca *call) serve() {
 	if !ca.resolve() {
 		return
@@ -190,7 +191,8 @@
 	pl.PartialDeadline, pl.NoServerDeadline = pl.Deadline, pl.Deadline
 	if ca.ro.TargetLatency > 0 {
 		due := ca.start.Add(ca.ro.TargetLatency - 2*ca.sv.cf.CallerDelay)
-		// Expiry takes precedence over a partial answer, so it must not come first.
+		// At the deadline a query expires even if enough parts are in, so a partial answer is
+		// due by then.
 		pl.PartialDeadline = earlier(due.Add(-ca.sv.cf.PartialMargin), pl.Deadline)
 		pl.NoServerDeadline = ca.start.Add(ca.ro.TargetLatency / noServerDivisor)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,7 +90,7 @@
 	scarceServers    atomic.Pointer[scarceServers]
 	rejecting        atomic.Bool
 	closing          atomic.Bool
-	ranked           atomic.Bool // the table in force ranks requests
+	ranked           atomic.Bool // levels are used, and the table in force ranks requests
 	view             atomic.Pointer[serverView]
 	inFlight         atomic.Int64
 	mergedTime       atomic.Int64 // sum of the time that merged requests were in flight, in nanoseconds
@@ -135,7 +135,7 @@
 	sv.mu.Lock()
 	sv.updateExpected(tb)
 	sv.mu.Unlock()
-	sv.ranked.Store(ranksRequests(tb))
+	sv.ranked.Store(sv.cf.Levels != nil && ranksRequests(tb))
 	sv.tb.Store(tb)
 	sv.customers.retain(tb.Customers())
 	sv.divideConnections()
--- a/gateway/levels.go
+++ b/gateway/levels.go
@@ -46,7 +46,7 @@
 // the limit of this one. If not, it answers the request.
 func (ca *call) admit(group string) bool {
 	sv := ca.sv
-	if sv.cf.Levels == nil || !sv.ranked.Load() {
+	if !sv.ranked.Load() {
 		if !sv.ad.Acquire(group) {
 			ca.reject(reasonBusy, ca.retryAfter())
 			return false
