--- a/review/platform/standin/stop.go
+++ b/review/platform/standin/stop.go
@@ -12,11 +12,11 @@
 	// firstSend and lastSend bound when the requests are sent, after the SIGTERM. A request
 	// sent no later than 3 s after it may be cut.
 	firstSend = 3750 * time.Millisecond
-	lastSend  = 4150 * time.Millisecond
-	sendEvery = 100 * time.Millisecond
-	// stopWork is how long a leaf works on each of them: about as long as a cold leaf takes
+	lastSend  = 3950 * time.Millisecond
+	sendEvery = 50 * time.Millisecond
+	// stopWork is how long a leaf works on each of them: as long as a cold leaf takes
 	// for the longest work of sheet-archive-pull (1,300 ms times 1.6).
-	stopWork = 2 * time.Second
+	stopWork = 2080 * time.Millisecond
 )
 
 // playStop stops one frontend node as planned. Clients that hold its address go on using it,
