gateway, tier: a stop answers every request that it has accepted

Cause: a stop had two fixed times. Until 4.2 s every request was accepted, whatever time it needed, and 5.7 s after the SIGTERM all connections were closed; that was no event for the requests in flight. A slowly sent body was checked for the stop only before it was read.

Change: all requests are answered 0.45 s before the end of the stop. What is still in flight at the end gets a merged answer of the parts that are in, or 504, which promises nothing. Backend servers get the shorter deadline.

Why it works: no connection with a request outlives the time by which its request is answered, however long the backend server takes. A rejection is given only before anything was sent.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -119,6 +119,9 @@
 	case !ex.qu.MayHaveRun():
 		ca.reject(cause, retryAfterNoServer)
 	case ex.qu.State() == scatter.Expired:
+		if ca.sv.stopped() {
+			cause = reasonStopped
+		}
 		ca.respondError(http.StatusGatewayTimeout, ca.unknownOutcome(), cause)
 	default:
 		ca.setRetryAfter(retryAfterNoServer)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,7 +29,9 @@
 const (
 	reasonNoTable  = "no configuration"
 	reasonStopping = "stopping"
-	reasonBusy     = "too many requests"
+	// reasonStopped is for a request that was still in flight at the end of a stop.
+	reasonStopped = "the instance stopped before an answer came"
+	reasonBusy    = "too many requests"
 	// reasonQuarantined rejects a request during which backend servers crashed before.
 	reasonQuarantined = "backend servers end under this request"
 )
@@ -73,7 +75,7 @@
 		ca.respondError(http.StatusBadRequest, result.NotRunBadRequest, "no request id")
 		return
 	}
-	if !ca.readBody() || !ca.resolveAgain() {
+	if !ca.acceptStopping() || !ca.readBody() || !ca.resolveAgain() || !ca.acceptStopping() {
 		return
 	}
 	ro := ca.ro
@@ -137,8 +139,13 @@
 		ca.respondError(http.StatusRequestEntityTooLarge, result.NotRunBadRequest, bodyTooLarge)
 		return false
 	}
+	done := ca.limitBodyRead()
 	body, status, detail := ReadBody(ca.wr, ca.rq, limit)
+	done()
 	if status != 0 {
+		if !ca.acceptStopping() {
+			return false
+		}
 		ca.respondError(status, result.NotRunBadRequest, detail)
 		return false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	metrics          serverMetrics
 	customers        customerMetrics
 	stalls           stallWatch
+	stop             stopState
 	serversChangedAt atomic.Int64 // when the set of backend servers last changed, in nanoseconds since started
 
 	mu            sync.Mutex // guards the fields below
@@ -112,7 +113,7 @@
 func New(cf Config, ts *timer.Service, lg *zap.Logger, up *upstream.Client, re *replica.Balancer, bu *budget.Budget, qa *quarantine.Tracker) *Server {
 	sv := &Server{
 		cf: cf, ts: ts, lg: lg, up: up, re: re, bu: bu, qa: qa,
-		pk: route.NewPicker(), ad: admit.New(max(1, cf.MaxInFlight)), qu: newQueue(),
+		pk: route.NewPicker(), ad: admit.New(max(1, cf.MaxInFlight)), qu: newQueue(), stop: newStopState(),
 		limits: make(map[string]int), expectedUntil: make(map[string]time.Time),
 	}
 	sv.connections.Store(&map[string]int{})
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -75,9 +75,14 @@
 		ca.sv.up.Prepare(ex.rq)
 	}
 	ca.ex = ex
-	ex.start(ca.sv.ts.Now())
+	start := ca.sv.ts.Now()
+	ex.start(start)
 	defer ca.updateQuarantine()
-	return ex, ex.run()
+	answered := ex.run()
+	if answered && ex.qu.MayHaveRun() {
+		ca.sv.stop.history.Record(ca.ro.Name, ca.sv.ts.Now().Sub(start))
+	}
+	return ex, answered
 }
 
 // run starts the attempts that the query wants until the query ends. It returns false if
@@ -91,6 +96,10 @@
 	defer ex.watchStalls()()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	stopping := ex.ca.sv.stop.started.Done()
+	if ex.stopBy() {
+		stopping = nil
+	}
 	var attempts []scatter.Attempt
 	for {
 		now := ts.Now()
@@ -112,6 +121,9 @@
 			ex.capacityFreed(sh)
 		case <-ex.stallNews:
 			ex.hedgeStalled(ts.Now())
+		case <-stopping:
+			ex.stopBy()
+			stopping = nil
 		case <-timer.C:
 		case <-caller.Done():
 			// The caller has left: its requests at the backend servers are canceled, too.
@@ -180,7 +192,7 @@
 		hedgeAt = now.Add(sv.re.HedgeDelay(now, rr, pk))
 	}
 	ex.qu.AttemptStarted(sa.Shard, hedgeAt)
-	go ex.runAttempt(ctx, attempt{shard: sa.Shard, index: ex.recordStart(now, sa, pk.Server.ID), pk: pk, chargedAt: chargedAt})
+	go ex.runAttempt(ctx, ex.rq, attempt{shard: sa.Shard, index: ex.recordStart(now, sa, pk.Server.ID), pk: pk, chargedAt: chargedAt})
 }
 
 // chooseServer chooses a backend server, or queues the shard until one has capacity. After
@@ -203,10 +215,10 @@
 }
 
 // runAttempt runs one attempt and delivers its result.
-func (ex *executor) runAttempt(ctx context.Context, at attempt) {
+func (ex *executor) runAttempt(ctx context.Context, rq *upstream.Request, at attempt) {
 	sv := ex.ca.sv
 	se := at.pk.Server
-	rs := sv.up.Do(ctx, sv.target(se), ex.rq)
+	rs := sv.up.Do(ctx, sv.target(se), rq)
 	now := sv.ts.Now()
 	sv.re.Done(now, at.pk, replicaReport(ctx, rs))
 	if rs.Outcome != upstream.NoConnection { // Two attempts without a connection would wake each other forever.
--- a/scatter/events.go
+++ b/scatter/events.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// EndBy makes the query end by the given time at the latest. If enough parts are in by then,
+// it is answered.
+func (qu *Query) EndBy(at time.Time) {
+	pl := &qu.pl
+	for _, until := range []*time.Time{&pl.NoServerDeadline, &pl.NoConnectionDeadline, &pl.PartialDeadline, &pl.Deadline} {
+		*until = earlier(*until, at)
+	}
+}
+
 // AttemptEnded records how an attempt ended and updates the state of the query.
 func (qu *Query) AttemptEnded(now time.Time, index int, ou Outcome) {
 	sh := &qu.shards[index]
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -34,11 +34,14 @@
 	// receives announcements from stays in use. After a restart, a control instance
 	// learns the servers only gradually, as their announcements arrive.
 	serverRetentionTimeout = 6 * time.Second
-	// inFlightTimeout is the part of a stop that is reserved for requests that are in
-	// flight when the instance begins to reject new ones.
+	// inFlightTimeout is the part of a stop in which the process ends as soon as no request
+	// is in flight.
 	inFlightTimeout = 1500 * time.Millisecond
 	// exitMargin is how long before the end of the stop timeout the process exits.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is how long before its exit the process has answered all requests, so
+	// that the answers are sent by then.
+	answerMargin = 150 * time.Millisecond
 )
 
 // entry is an entry instance.
@@ -136,18 +139,19 @@
 
 // stop shuts down gracefully, so that no request is cut off. The instance at once asks to
 // be taken off the address lists, and serves callers that hold an older list until that
-// list must have expired.
+// list must have expired. It accepts only what it can answer before it exits.
 func (en *entry) stop(timeout time.Duration, ts *timer.Service) {
 	start := ts.Now()
 	en.sr.drain()
 	en.gw.CloseAfterResponse()
+	en.gw.AnswerBy(start.Add(timeout - exitMargin - answerMargin))
 	en.lg.Info("instance-stopping", zap.Int("Active", en.gw.InFlight()), zap.Duration("Within", timeout), trail.Synchronous())
 	ctx := context.Background()
 	_ = ts.Sleep(ctx, timeout-inFlightTimeout-exitMargin)
-	en.gw.RejectAll()
 	ctx, cancel := context.WithDeadline(ctx, start.Add(timeout-exitMargin))
 	defer cancel()
 	err := en.gw.WaitIdle(ctx)
+	en.gw.RejectAll()
 	en.callers.Close(ctx)
 	en.lg.Info("callers-served", zap.Int("Active", en.gw.InFlight()), zap.Error(err), trail.Synchronous())
 }
--- /dev/null
+++ b/tier/stop_test.go
@@ -0,0 +1,48 @@
+package tier_test
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an entry instance that is stopped and ends the connection of a request
+// which a backend server still runs: its caller must get an answer, whether the request
+// came before or during the stop.
+func TestStopAnswersRequestInFlight(t *testing.T) {
+	cl := newCluster(t, 1, 1)
+	co, en := cl.controls[0], cl.entries[0]
+	cl.configure(config(1, "s1", "/extra/"), co)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	cl.startServer("s1", "i-s1-held", func(*backend) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+			arrived <- struct{}{}
+			select {
+			case <-rq.Context().Done():
+			case <-release:
+			}
+		})
+	})
+	t.Cleanup(func() { close(release) })
+	cl.awaitResolved(co, en)
+	answers := make(chan *response, 2)
+	ask := func() {
+		go func() {
+			re := cl.get(en, "/one/a")
+			for re.status == http.StatusServiceUnavailable { // The server isn't known yet.
+				re = cl.get(en, "/one/a")
+			}
+			answers <- re
+		}()
+		<-arrived
+	}
+	ask()
+	en.stop()
+	cl.await("the instance drains", func() bool { return cl.readyStatus(en) != http.StatusOK })
+	ask()
+	for range 2 {
+		qt.Assert(t, (<-answers).status, qt.Equals, http.StatusGatewayTimeout)
+	}
+	qt.Assert(t, en.shutdown(), qt.IsNil)
+}
