tier: a stopping control instance answers the calls that it has read

Callers saw: operators and backend servers whose call was in flight 0.3 s after the SIGTERM of a control instance got no answer, although the call may take 0.9 s.

Cause: after it had handed over the leadership, the instance closed its API servers together with all else.

Change: the API servers are shut down first. They accept no further call, and the rest of the instance runs until those in flight are answered, 1.1 s at most.

Evidence: tier TestStopAnswersOperator (a proposal without a majority) failed before with "unexpected EOF" and gets 503 now.

--- a/tier/control.go
+++ b/tier/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -31,6 +33,9 @@
 	readTimeout = 900 * time.Millisecond
 	// resignTimeout is how long a stopping control instance goes on serving.
 	resignTimeout = 300 * time.Millisecond
+	// callTimeout is how long a stopping control instance waits for the calls in flight,
+	// none of which takes longer than proposeTimeout or readTimeout once it is read.
+	callTimeout = proposeTimeout + 200*time.Millisecond
 )
 
 // control is a control instance.
@@ -69,10 +74,12 @@
 	}
 	sp := newSupervisor("control", lg)
 	ia := newInstrumentedAPI(co, ts)
-	if err := serveHTTP(sp, "operators", se.Listen.Control, di.ControlHandler(ia)); err != nil {
+	operators, err := serveHTTP(sp, "operators", se.Listen.Control, di.ControlHandler(ia))
+	if err != nil {
 		return err
 	}
-	if err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(ia)); err != nil {
+	lookUps, err := serveHTTP(sp, "addresses", se.Listen.Addresses, di.AddressHandler(ia))
+	if err != nil {
 		return err
 	}
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeGroupMetrics(co.nd, co.pu), writeStallShareMetrics(co.pu), ia.set.WritePrometheus, qo.mt.set.WritePrometheus)...)
@@ -82,7 +89,7 @@
 	sp.Add(service{"roster", co.ro.serve})
 	addStateStore(sp, ss, se, ls, lc)
 	sp.Add(service{"look-ups", func(ctx context.Context) error { return co.lu.serve(ctx, co.pu.ReadyEntries) }})
-	serveUntil(ctx, sp, co.stop)
+	serveUntil(ctx, sp, func() { co.stop(operators, lookUps) })
 	return nil
 }
 
@@ -101,13 +108,25 @@
 	}})
 }
 
-// stop hands over the leadership and goes on serving until resignTimeout has passed.
-func (co *control) stop() {
+// stop hands over the leadership and goes on serving until resignTimeout has passed. Then
+// the servers accept no further calls, and those in flight are answered.
+func (co *control) stop(svs ...*http.Server) {
 	co.lg.Info("instance-stopping", trail.Synchronous())
 	last, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	co.nd.Resign(last)
 	<-last.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, sv := range svs {
+		wg.Go(func() {
+			if err := sv.Shutdown(ctx); err != nil {
+				co.lg.Warn("calls-cut-off", zap.String("Address", sv.Addr), zap.Error(err), trail.Synchronous())
+			}
+		})
+	}
+	wg.Wait()
 }
 
 // handle serves a link that another instance opened. The first message tells which kind
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -73,7 +73,7 @@
 	}
 	en.callers = newCallerServer(li, en.gw, ts, lg)
 	sp := newSupervisor("entry", lg)
-	if err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
+	if _, err := serveHTTP(sp, "ready", se.Listen.Ready, di.ReadyHandler(en.ready)); err != nil {
 		return err
 	}
 	serveMetrics(sp, se.Metrics, lg, append(mws, writeLinkMetrics(en.su), writeStallMetrics(en.re), en.gw.WriteMetrics, en.qc.mt.set.WritePrometheus)...)
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -27,7 +27,7 @@
 // serveMetrics adds the HTTP server for metrics. If its address is taken, that is logged
 // and the instance runs without it.
 func serveMetrics(sp *suture.Supervisor, address string, lg *zap.Logger, mws ...MetricsWriter) {
-	if err := serveHTTP(sp, "metrics", address, metricsHandler(mws)); err != nil {
+	if _, err := serveHTTP(sp, "metrics", address, metricsHandler(mws)); err != nil {
 		lg.Warn("metrics-not-served", zap.String("Address", address), zap.Error(err))
 	}
 }
--- a/tier/run.go
+++ b/tier/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -138,26 +139,27 @@
 	<-done
 }
 
-// serveHTTP adds an HTTP server on the address to the supervisor; an empty address adds
-// none.
-func serveHTTP(sp *suture.Supervisor, name, address string, ha http.Handler) error {
+// serveHTTP adds an HTTP server on the address to the supervisor and returns it; an empty
+// address adds none.
+func serveHTTP(sp *suture.Supervisor, name, address string, ha http.Handler) (*http.Server, error) {
 	if address == "" {
-		return nil
+		return &http.Server{}, nil
 	}
 	li, err := listen(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxAPIHeaderBytes}
+	sv := &http.Server{Addr: address, Handler: ha, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxAPIHeaderBytes}
 	sp.Add(service{name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = sv.Close() })
 		defer stop()
-		if err := sv.Serve(li); ctx.Err() == nil {
+		if err := sv.Serve(li); ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		<-ctx.Done() // After Shutdown, calls may still be in flight.
 		return ctx.Err()
 	}})
-	return nil
+	return sv, nil
 }
 
 // Limits of the HTTP servers for operators, backend servers and address look-ups.
--- a/tier/stop_test.go
+++ b/tier/stop_test.go
@@ -1,6 +1,9 @@
 package tier_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 
@@ -46,3 +49,29 @@
 	}
 	qt.Assert(t, en.shutdown(), qt.IsNil)
 }
+
+// Guards against a control instance that is stopped and ends the connection of an
+// operator's call that it has read.
+func TestStopAnswersOperator(t *testing.T) {
+	cl := newCluster(t, 3, 0)
+	cl.configure(config(1, "s1", "/extra/"), cl.controls...)
+	co := cl.controls[0]
+	for _, other := range cl.controls[1:] {
+		qt.Assert(t, other.shutdown(), qt.IsNil)
+	}
+	nc, err := net.Dial("tcp4", co.se.Listen.Control)
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	rd := bufio.NewReader(nc)
+	body := config(2, "s1", "/extra/")
+	_, _ = fmt.Fprintf(nc, "PUT /config HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+	rs, err := http.ReadResponse(rd, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rs.StatusCode, qt.Equals, http.StatusContinue)
+	_, _ = nc.Write(body)
+	co.stop()
+	rs, err = http.ReadResponse(rd, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rs.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("there is no majority"))
+	qt.Assert(t, co.shutdown(), qt.IsNil)
+}
