registry, feed, tier: all control instances know and save departures

Cause: a departure was held in the memory of the control instance that was told, and of the entry instances of that time. The other control instances ignored it and listed the server by its last announcement; the restarted one read a list of servers that knows no departures.

Change: control instances, which follow each other's feeds already, take over departures, pass them on to their entry instances, and save those of the last minute in a file of their own at once. The file is read first at a start.

Why it works: a departure is in the catalog of each control instance that is linked, so the union of an entry instance that starts has it, whichever one of them ended.

--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -82,6 +82,40 @@
 	pu.publishLeft(now, id, pu.catalog.Leave(now, id))
 }
 
+// Depart records backend servers that are Draining or Gone, as another control instance or
+// this one before a restart knew them. Records in the state Ready are ignored.
+//
+// Otherwise only the control instance that a server told would know of its departure. If that
+// one ended, the others would go on listing the server by its last announcement to them, and
+// an entry instance that starts then would send requests to it.
+func (pu *Publisher) Depart(ses []registry.Server) {
+	now := pu.ts.Now()
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	for _, se := range ses {
+		if !pu.catalog.Depart(now, se) {
+			continue
+		}
+		if se.State == registry.Gone {
+			pu.publishLeft(now, se.ID, true)
+			continue
+		}
+		pu.ll.info(now, "backend-server-draining", serverFields(se)...)
+		pu.queueChange(now, registry.Change{Server: se})
+	}
+}
+
+// Departing returns the backend servers that are Draining or left in the last 60 seconds.
+func (pu *Publisher) Departing() []registry.Server {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	return pu.catalog.Departing(pu.ts.Now())
+}
+
+// DeparturesChanged returns a channel that receives when Departing may return others than
+// before. It has a single reader.
+func (pu *Publisher) DeparturesChanged() <-chan struct{} { return pu.departuresChanged }
+
 // publishLeft publishes that a backend server has left, if that is a change.
 func (pu *Publisher) publishLeft(now time.Time, id string, changed bool) {
 	if !changed {
@@ -96,6 +130,12 @@
 func (pu *Publisher) queueChange(now time.Time, ch registry.Change) {
 	pu.serversVersion++
 	pu.pending.addChange(ch)
+	if !ch.Dropped && ch.Server.State != registry.Ready {
+		select {
+		case pu.departuresChanged <- struct{}{}:
+		default:
+		}
+	}
 	pu.scheduleFlush(now)
 }
 
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -84,6 +84,8 @@
 	serversVersion uint64           // changes of the catalog
 	evacuations    *evacuation.Set  // newest ones; nil before the first evacuation command
 
+	departuresChanged chan struct{}
+
 	configurations configurationStore
 	detector       lockedDetector
 	overload       lockedController
@@ -132,6 +134,8 @@
 		liveEntries: make(map[string]Entry),
 		loads:       make(map[string]float64),
 		pending:     newPendingUpdate(),
+
+		departuresChanged: make(chan struct{}, 1),
 	}
 	if pu.qa == nil {
 		pu.qa = quarantine.New()
--- a/feed/source.go
+++ b/feed/source.go
@@ -257,6 +257,7 @@
 	su.applyEvacuations(so, sn.Evacuations)
 	su.versionAnnounced(so, sn.Version)
 	su.un.Replace(now, so.address, sn.Servers)
+	su.receiveDepartures(sn.Servers)
 	su.receiveSuspects(so, sn.Suspects)
 }
 
@@ -283,6 +284,7 @@
 	su.versionAnnounced(so, up.Version)
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
+		su.receiveDepartures(changedServers(up.Changes))
 	}
 	su.receiveSuspects(so, up.Suspects)
 }
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -75,6 +75,9 @@
 	// OwnAddress is the address of the control instance that the subscriber belongs to,
 	// which needs no link to itself; empty for an entry instance.
 	OwnAddress string
+	// Departed is called with the backend servers that a control instance reports as Draining
+	// or Gone, by the goroutine of Serve; nil if they aren't needed.
+	Departed func(ses []registry.Server)
 	// Suspects returns this instance's records of requests suspected of crashing servers,
 	// which are sent to a control instance whose link comes up; nil for none.
 	Suspects func() []quarantine.Record
--- a/registry/catalog.go
+++ b/registry/catalog.go
@@ -145,9 +145,9 @@
 	defer ct.mu.Unlock()
 	at := ct.clock.advance(now)
 	for _, se := range ses {
-		_, left := ct.left.get(se.ID)
+		was, left := ct.left.get(se.ID)
 		_, known := ct.servers[se.ID]
-		if left || known || se.ID == "" || se.State == Gone {
+		if left && se.Born <= was.Born || known || se.ID == "" || se.State == Gone {
 			continue
 		}
 		ct.add(at-max(0, ct.silenceTimeout-keep), se)
@@ -189,6 +189,37 @@
 	return ct.left.get(id)
 }
 
+// Depart records that a server is Draining or Gone, as another control instance or this one
+// before a restart knew it, and reports whether that is a change. Unlike an announcement,
+// such a record may be older than the last one of the incarnation, which stays Draining all
+// the same.
+func (ct *Catalog) Depart(now time.Time, se Server) (changed bool) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	at := ct.clock.advance(now)
+	if se.State == Gone {
+		return ct.leave(at, se.ID, se.Born)
+	}
+	if was, ok := ct.left.get(se.ID); ok && se.Born <= was.Born || se.ID == "" || se.State != Draining {
+		return false
+	}
+	as, ok := ct.servers[se.ID]
+	switch {
+	case !ok || se.Born > as.server.Born:
+		return ct.addIncarnation(at, se)
+	case se.Born < as.server.Born || as.server.State == Draining:
+		return false
+	}
+	as.server.State = Draining
+	return true
+}
+
+// Departing returns the servers that left in the last 60 seconds and those in the catalog
+// that are Draining.
+func (ct *Catalog) Departing(now time.Time) []Server {
+	return slices.DeleteFunc(ct.Records(now), func(se Server) bool { return se.State == Ready })
+}
+
 // Expire drops the servers that have been silent for the silence timeout and returns
 // their ids, sorted. They aren't Gone: another control instance may hear them.
 func (ct *Catalog) Expire(now time.Time) []string {
--- a/tier/cluster_test.go
+++ b/tier/cluster_test.go
@@ -281,16 +281,8 @@
 	tk := time.NewTicker(announceInterval)
 	defer tk.Stop()
 	for seq := 1; ; seq++ {
-		beat, err := json.Marshal(map[string]any{
-			"service": be.service, "address": be.hs.Listener.Addr().String(), "zone": be.dataCentre, "version": "v1",
-			"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "seq": seq,
-		})
-		if err != nil {
-			panic(err)
-		}
 		for ix := range be.cl.controls {
-			co := be.cl.controls[(seq+ix)%len(be.cl.controls)]
-			if status, _ := be.cl.call(http.MethodPut, co.se.Listen.Control, "/instances/"+be.id, beat); status == http.StatusOK {
+			if be.announceTo(be.cl.controls[(seq+ix)%len(be.cl.controls)], seq, "ready") == http.StatusOK {
 				break
 			}
 		}
@@ -302,6 +294,19 @@
 	}
 }
 
+// announceTo sends one announcement to a control instance and returns the status.
+func (be *backend) announceTo(co *instance, seq int, state string) int {
+	beat, err := json.Marshal(map[string]any{
+		"service": be.service, "address": be.hs.Listener.Addr().String(), "zone": be.dataCentre, "version": "v1",
+		"max_concurrency": 4, "state": state, "warmup_left_ms": 0, "seq": seq,
+	})
+	if err != nil {
+		panic(err)
+	}
+	status, _ := be.cl.call(http.MethodPut, co.se.Listen.Control, "/instances/"+be.id, beat)
+	return status
+}
+
 // ServeHTTP responds with a stamp and the id of the request. It doesn't run requests
 // meant for another server.
 func (be *backend) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
--- a/tier/control.go
+++ b/tier/control.go
@@ -98,10 +98,12 @@
 func addStateStore(sp *suture.Supervisor, ss stateStore, se Settings, ls *liveSettings, lc link.Config) {
 	su := feed.NewSubscriber(feed.SubscriberConfig{
 		Self: feed.Entry{Name: se.Name, DataCentre: se.DataCentre}, Seeds: ls.linkSeeds, Link: lc, RetentionTimeout: serverRetentionTimeout, OwnAddress: se.LinkAddress(),
+		Departed: ss.pu.Depart,
 	}, ss.ts, ss.lg, ss.ps)
 	invitees := ss.invitees(se.DataCentre)
 	sp.Add(service{"others", su.Serve})
 	sp.Add(service{"memory", func(ctx context.Context) error { return ss.serve(ctx, se.LinkPort) }})
+	sp.Add(service{"departures", ss.serveDepartures})
 	sp.Add(service{"invite", func(ctx context.Context) error {
 		feed.InviteAll(ctx, lc, ss.lg, feed.Invite{Name: se.Name, Address: se.LinkAddress()}, invitees, ss.pu.HasLink)
 		return suture.ErrDoNotRestart
--- a/tier/statestore.go
+++ b/tier/statestore.go
@@ -61,9 +61,10 @@
 	lg  *zap.Logger
 }
 
-// restore loads the saved backend servers, suspects and roster sizes, as far as there are
-// any.
+// restore loads the saved departures, backend servers, suspects and roster sizes, as far as
+// there are any.
 func (ss stateStore) restore(announcement time.Duration) {
+	ss.restoreDepartures()
 	var sizes []roster.SavedSize
 	if ss.load(rosterSizesFile, &sizes) {
 		ss.ro.restore(sizes)
@@ -166,8 +167,8 @@
 }
 
 // save replaces a file atomically: after a power loss, either the new or the old content
-// is there.
-func (ss stateStore) save(name string, value any) {
+// is there. It reports whether the new content is on disk.
+func (ss stateStore) save(name string, value any) bool {
 	data, err := cbor.Marshal(value)
 	if err == nil {
 		err = wal.WriteFileAtomic(wal.System(), ss.dir, name, data)
@@ -175,6 +176,7 @@
 	if err != nil {
 		ss.lg.Warn("note-not-written", zap.String("Name", name), zap.Error(err))
 	}
+	return err == nil
 }
 
 // savedSuspects is the content of suspectsFile.
--- a/tier/statestore_test.go
+++ b/tier/statestore_test.go
@@ -145,3 +145,27 @@
 		qt.Assert(t, ses[1].Born, qt.Equals, int64(20), qt.Commentf("the later start"))
 	})
 }
+
+// Guards against a departure that a control instance forgets at a power loss, since the
+// saved servers are older and list the server as ready.
+func TestSavedDeparturesAreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := filepath.Join(t.TempDir(), "data")
+		ss := newTestStore(dir)
+		go func() { _ = ss.serve(t.Context(), 7740) }()
+		go func() { _ = ss.serveDepartures(t.Context()) }()
+		for _, id := range []string{"a", "b", "c"} {
+			ss.pu.Announce(registry.Server{ID: id, Service: "s", Address: id, Sequence: 1})
+		}
+		time.Sleep(2*saveInterval + saveInterval/2)
+		ss.pu.Leave("b")
+		ss.pu.Announce(registry.Server{ID: "c", Service: "s", Address: "c", Sequence: 2, State: registry.Draining})
+		synctest.Wait() // no time passes
+
+		ss = newTestStore(dir)
+		ss.restore(time.Second)
+		qt.Assert(t, knownIDs(ss), qt.DeepEquals, []string{"c", "a"})
+		ses, _ := ss.pu.Servers()
+		qt.Assert(t, ses[0].State, qt.Equals, registry.Draining)
+	})
+}
