feed, tier: acknowledge a departure once it is stored on enough disks

Callers saw: a backend server that had left got requests from an entry instance that ran all the while, until it exited and cut them.

Cause: the acknowledgement went out 2 to 20 ms before the messages to entry instances and up to 200 ms before anything was on disk. After its restart, the control instance listed the server by its saved list.

Change: departures (draining and gone) are numbered; the other control instances, which take them over, confirm a number on the same link once it is on their disks. The answer waits until Losses + 1 control instances have stored the departure, never more than are left while Losses are away (package departure), and is 503 after 0.9 s. Updates, writes and confirmations are shared by all departures of the moment. The metric of control calls has the kind Depart.

Why it works: at the time of the answer, an instance other than the one that may be lost knows the departure, has it on disk, and tells its entry instances.

Ruled out: waiting for the messages to entry instances (lost with the power, and entry instances keep nothing), the own disk alone (may be lost, or hang), the replicated log (nothing is acknowledged around an election).

--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -187,12 +187,20 @@
 		writeError(wr, http.StatusBadRequest, invalidStateDetail)
 		return
 	}
-	ch.co.Announce(se)
-	tier.WriteJSON(wr, http.StatusOK, struct{}{})
+	writeDeparted(wr, ch.co.Announce(rq.Context(), se))
 }
 
 func (ch *controlHandler) leave(wr http.ResponseWriter, rq *http.Request) {
-	ch.co.Leave(rq.PathValue("id"))
+	writeDeparted(wr, ch.co.Leave(rq.Context(), rq.PathValue("id")))
+}
+
+// writeDeparted acknowledges the call of a backend server, or asks it to call another control
+// instance.
+func writeDeparted(wr http.ResponseWriter, err error) {
+	if err != nil {
+		writeError(wr, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	tier.WriteJSON(wr, http.StatusOK, struct{}{})
 }
 
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -281,13 +281,6 @@
 
 func (rc *recordingControl) Evacuated() evacuation.Set { return rc.evacuated }
 
-func (rc *recordingControl) Announce(se registry.Server) {
-	_ = rc.recordingAnnouncer.Announce(context.Background(), se)
-}
-
-func (rc *recordingControl) Leave(id string) {
-	_ = rc.recordingAnnouncer.Leave(context.Background(), id)
-}
 func (rc *recordingControl) BodyLimit() int64 { return 1 << 16 }
 
 func (rc *recordingControl) Ignore(id, detail string) {
--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -21,24 +21,28 @@
 }
 
 // Announce records a backend server's announcement of itself. One that changes nothing is
-// not published.
-func (pu *Publisher) Announce(se registry.Server) {
+// not published. If the server says that it departs, departure is the number to pass to
+// AwaitStored, and otherwise 0.
+func (pu *Publisher) Announce(se registry.Server) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	if se.State == registry.Gone {
 		pu.publishLeft(now, se.ID, pu.catalog.Announce(now, se))
-		return
+		return pu.departures.last
 	}
 	if pu.catalog.Implausible(se) {
 		pu.ll.info(now, "announcement-ignored", append(serverFields(se), zap.String("Detail", "implausible service or start time"))...)
-		return
+		return 0
 	}
-	if !pu.catalog.Announce(now, se) {
-		return
+	if pu.catalog.Announce(now, se) {
+		pu.ll.info(now, "backend-server-announced", serverFields(se)...)
+		pu.queueChange(now, registry.Change{Server: se})
+	}
+	if se.State == registry.Ready {
+		return 0
 	}
-	pu.ll.info(now, "backend-server-announced", serverFields(se)...)
-	pu.queueChange(now, registry.Change{Server: se})
+	return pu.departures.last
 }
 
 // Ignore logs an announcement that didn't come from the backend server with this id. It
@@ -74,48 +78,16 @@
 	pu.lg.Info("backend-servers-restored", zap.Int("Servers", len(ses)))
 }
 
-// Leave records that a backend server has stopped for good.
-func (pu *Publisher) Leave(id string) {
+// Leave records that a backend server has stopped for good, and returns the number of its
+// departure for AwaitStored.
+func (pu *Publisher) Leave(id string) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	pu.publishLeft(now, id, pu.catalog.Leave(now, id))
+	return pu.departures.last
 }
 
-// Depart records backend servers that are Draining or Gone, as another control instance or
-// this one before a restart knew them. Records in the state Ready are ignored.
-//
-// Otherwise only the control instance that a server told would know of its departure. If that
-// one ended, the others would go on listing the server by its last announcement to them, and
-// an entry instance that starts then would send requests to it.
-func (pu *Publisher) Depart(ses []registry.Server) {
-	now := pu.ts.Now()
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	for _, se := range ses {
-		if !pu.catalog.Depart(now, se) {
-			continue
-		}
-		if se.State == registry.Gone {
-			pu.publishLeft(now, se.ID, true)
-			continue
-		}
-		pu.ll.info(now, "backend-server-draining", serverFields(se)...)
-		pu.queueChange(now, registry.Change{Server: se})
-	}
-}
-
-// Departing returns the backend servers that are Draining or left in the last 60 seconds.
-func (pu *Publisher) Departing() []registry.Server {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	return pu.catalog.Departing(pu.ts.Now())
-}
-
-// DeparturesChanged returns a channel that receives when Departing may return others than
-// before. It has a single reader.
-func (pu *Publisher) DeparturesChanged() <-chan struct{} { return pu.departuresChanged }
-
 // publishLeft publishes that a backend server has left, if that is a change.
 func (pu *Publisher) publishLeft(now time.Time, id string, changed bool) {
 	if !changed {
@@ -131,10 +103,7 @@
 	pu.serversVersion++
 	pu.pending.addChange(ch)
 	if !ch.Dropped && ch.Server.State != registry.Ready {
-		select {
-		case pu.departuresChanged <- struct{}{}:
-		default:
-		}
+		pu.recordDeparture()
 	}
 	pu.scheduleFlush(now)
 }
--- a/feed/cluster_test.go
+++ b/feed/cluster_test.go
@@ -50,6 +50,7 @@
 	dataCentres map[string]string // data centres of control instances by name
 
 	sharedStalls bool // control instances that start share stalls
+	neededCopies int  // of a departure, at control instances that start
 
 	mu       sync.Mutex
 	controls map[string]*control // by address
@@ -212,6 +213,7 @@
 	pu := NewPublisher(PublisherConfig{
 		Name: co.member.Name, DataCentre: cl.dataCentres[co.member.Name], SilenceTimeout: testSilenceTimeout,
 		SharedStalls: cl.sharedStalls, Overload: !cl.withoutOverload,
+		NeededCopies: func(int) int { return cl.neededCopies },
 	}, cl.ts, cl.lg)
 	cl.mu.Lock()
 	co.pu, co.stop, co.unreachable, co.stalled = pu, cancel, false, false
--- a/feed/message.go
+++ b/feed/message.go
@@ -41,6 +41,7 @@
 	kindAdmissionLevels
 	kindStallReport
 	kindStalls
+	kindDeparturesStored
 )
 
 // Features are the messages that an instance understands beyond those of the first release.
@@ -50,13 +51,14 @@
 
 // The features, as bits.
 const (
-	FeatureQuotas   Features = 1 << iota // QuotaRequest, QuotaGrant
-	FeatureOverload                      // OverloadReport, AdmissionLevels
-	FeatureStalls                        // StallReport, Stalls
+	FeatureQuotas     Features = 1 << iota // QuotaRequest, QuotaGrant
+	FeatureOverload                        // OverloadReport, AdmissionLevels
+	FeatureStalls                          // StallReport, Stalls
+	FeatureDepartures                      // DeparturesStored
 )
 
 // supportedFeatures are the features of this release that no setting turns off.
-const supportedFeatures = FeatureQuotas
+const supportedFeatures = FeatureQuotas | FeatureDepartures
 
 // Has reports whether all of the given features are included.
 func (fe Features) Has(other Features) bool { return fe&other == other }
@@ -170,6 +172,8 @@
 	Evacuations *evacuation.Set `cbor:"9,keyasint,omitempty"` // nil before the first evacuation command
 
 	Features Features `cbor:"10,keyasint,omitempty"` // what the control instance understands
+
+	Departures uint64 `cbor:"11,keyasint,omitempty"` // number of the last departure in Servers; 0 for none
 }
 
 // Kind returns the kind of the message.
@@ -189,11 +193,21 @@
 	Suspects []quarantine.Record `cbor:"7,keyasint,omitempty"`
 	// Evacuations are the newest ones; nil if unchanged.
 	Evacuations *evacuation.Set `cbor:"8,keyasint,omitempty"`
+	// Departures is the number of the last departure in Changes; 0 if there is none.
+	Departures uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message.
 func (Update) Kind() peer.Kind { return kindUpdate }
 
+// DeparturesStored informs a control instance that another one has stored its departures.
+type DeparturesStored struct {
+	Departures uint64 `cbor:"1,keyasint"` // of the Snapshot or Update with the last of them
+}
+
+// Kind returns the kind of the message.
+func (DeparturesStored) Kind() peer.Kind { return kindDeparturesStored }
+
 // LoadReport informs a control instance of the entry instance's load, as a fraction of
 // its share.
 type LoadReport struct {
@@ -240,5 +254,6 @@
 		AdmissionLevels{},
 		StallReport{},
 		Stalls{},
+		DeparturesStored{},
 	}
 }
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -51,6 +51,10 @@
 	// GrantQuotas answers an entry instance's request for tokens. It is called concurrently
 	// and must not block. If it is nil, this instance owns no quotas.
 	GrantQuotas func(entry string, rq QuotaRequest) QuotaGrant
+	// NeededCopies returns on how many control instances the departure of a backend server
+	// must be stored before it is acknowledged, given the number of members of the group; nil
+	// means that departures are not stored. It must not block.
+	NeededCopies func(members int) int
 	// SharedStalls is set if stalls of backend servers are evaluated and published.
 	SharedStalls bool
 	// Overload enables admission levels for all entry instances together.
@@ -84,7 +88,7 @@
 	serversVersion uint64           // changes of the catalog
 	evacuations    *evacuation.Set  // newest ones; nil before the first evacuation command
 
-	departuresChanged chan struct{}
+	departures departures
 
 	configurations configurationStore
 	detector       lockedDetector
@@ -100,6 +104,7 @@
 	joinNumber  uint64
 	fromControl bool // the subscriber is a control instance
 	features    Features
+	stored      uint64 // number up to which a control instance has stored departures
 }
 
 // encodedSnapshot is an encoded snapshot and the time at which it was made.
@@ -115,6 +120,7 @@
 	sharers bool
 	// evacuations means that they have changed.
 	evacuations bool
+	departures  bool // changes has departures
 	entries     map[string]struct{}
 	changes     []registry.Change // one change for each id, in the order of the first
 	indexes     map[string]int    // indexes in changes by id
@@ -134,8 +140,7 @@
 		liveEntries: make(map[string]Entry),
 		loads:       make(map[string]float64),
 		pending:     newPendingUpdate(),
-
-		departuresChanged: make(chan struct{}, 1),
+		departures:  newDepartures(),
 	}
 	if pu.qa == nil {
 		pu.qa = quarantine.New()
@@ -206,6 +211,7 @@
 	}
 	pu.members = ms
 	pu.pending.members = true
+	pu.updateAcknowledged()
 	pu.lg.Info("members-published", zap.Int("Members", len(ms)))
 	pu.scheduleFlush(now)
 }
@@ -246,6 +252,8 @@
 			pu.addStalls(sb, me)
 		case OverloadReport:
 			pu.overload.add(pu.ts.Now(), me.Reports)
+		case DeparturesStored:
+			pu.setStoredBy(sb, me.Departures)
 		default:
 			pu.lg.Warn("message-not-expected", zap.String("Entry", sb.en.Name), zap.Uint16("Kind", uint16(me.Kind())))
 		}
@@ -264,6 +272,7 @@
 	}}
 	pu.subscribers[sb] = struct{}{}
 	pu.refreshEntry(now, first.Name)
+	pu.updateAcknowledged()
 	pu.ll.info(now, "entry-link-up", zap.String("Entry", first.Name), zap.String("Address", first.Address),
 		zap.Stringer("State", first.State), zap.Uint64("Version", first.Version))
 	if err := pu.sendSnapshot(now, co); err != nil {
@@ -300,7 +309,8 @@
 		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
 		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
 		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
-		Features: supportedFeatures | pu.stallFeature() | overloadFeatures(pu.cf.Overload),
+		Features:   supportedFeatures | pu.stallFeature() | overloadFeatures(pu.cf.Overload),
+		Departures: pu.departures.last,
 	}
 }
 
@@ -385,6 +395,9 @@
 	if pu.pending.evacuations {
 		up.Evacuations = pu.evacuations
 	}
+	if pu.pending.departures {
+		up.Departures = pu.departures.last
+	}
 	for _, name := range slices.Sorted(maps.Keys(pu.pending.entries)) {
 		if en, ok := pu.liveEntries[name]; ok {
 			up.Entries = append(up.Entries, en)
--- a/feed/source.go
+++ b/feed/source.go
@@ -53,6 +53,7 @@
 // event is a message of a link, or the error for which there is no link.
 type event struct {
 	so  *source
+	co  *link.Conn // link that the message came on
 	ms  peer.Message
 	err error
 }
@@ -156,7 +157,7 @@
 			su.receiveQuotaGrant(so, gr)
 			continue
 		}
-		if !su.postEvent(ctx, event{so: so, ms: ms}) {
+		if !su.postEvent(ctx, event{so: so, co: co, ms: ms}) {
 			return ctx.Err()
 		}
 	}
@@ -212,9 +213,9 @@
 	case nil:
 		su.linkLost(so, ev.err)
 	case Snapshot:
-		su.applySnapshot(so, me)
+		su.applySnapshot(so, ev.co, me)
 	case Update:
-		su.applyUpdate(so, me)
+		su.applyUpdate(so, ev.co, me)
 	case Configuration:
 		su.receiveConfiguration(so, me)
 	case Findings:
@@ -228,7 +229,7 @@
 	}
 }
 
-func (su *Subscriber) applySnapshot(so *source, sn Snapshot) {
+func (su *Subscriber) applySnapshot(so *source, co *link.Conn, sn Snapshot) {
 	now := su.ts.Now()
 	so.features.Store(uint32(sn.Features))
 	if !so.connected.Load() {
@@ -257,11 +258,11 @@
 	su.applyEvacuations(so, sn.Evacuations)
 	su.versionAnnounced(so, sn.Version)
 	su.un.Replace(now, so.address, sn.Servers)
-	su.receiveDepartures(sn.Servers)
+	su.receiveDepartures(co, sn.Departures, sn.Servers)
 	su.receiveSuspects(so, sn.Suspects)
 }
 
-func (su *Subscriber) applyUpdate(so *source, up Update) {
+func (su *Subscriber) applyUpdate(so *source, co *link.Conn, up Update) {
 	if !so.connected.Load() {
 		return
 	}
@@ -284,7 +285,7 @@
 	su.versionAnnounced(so, up.Version)
 	if len(up.Changes) > 0 {
 		su.un.Apply(su.ts.Now(), so.address, up.Changes)
-		su.receiveDepartures(changedServers(up.Changes))
+		su.receiveDepartures(co, up.Departures, changedServers(up.Changes))
 	}
 	su.receiveSuspects(so, up.Suspects)
 }
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -76,8 +76,9 @@
 	// which needs no link to itself; empty for an entry instance.
 	OwnAddress string
 	// Departed is called with the backend servers that a control instance reports as Draining
-	// or Gone, by the goroutine of Serve; nil if they aren't needed.
-	Departed func(ses []registry.Server)
+	// or Gone, by the goroutine of Serve; nil if they aren't needed. If stored isn't nil, it is
+	// to be called once they are on disk. It doesn't block.
+	Departed func(ses []registry.Server, stored func())
 	// Suspects returns this instance's records of requests suspected of crashing servers,
 	// which are sent to a control instance whose link comes up; nil for none.
 	Suspects func() []quarantine.Record
--- a/tier/control.go
+++ b/tier/control.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/departure"
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
@@ -29,6 +30,9 @@
 	// proposeTimeout bounds one attempt to commit a change. Operators retry at another
 	// instance.
 	proposeTimeout = 900 * time.Millisecond
+	// storeTimeout bounds the wait until a departure is stored. Backend servers retry at
+	// another instance.
+	storeTimeout = 900 * time.Millisecond
 	// readTimeout bounds a read of the configuration.
 	readTimeout = 900 * time.Millisecond
 	// resignTimeout is how long a stopping control instance goes on serving.
@@ -56,6 +60,9 @@
 	qo := newQuotaOwner(se.Quota.limits(), func() fleet.Standing { return co.nd.Standing() }, func() []feed.Entry { return co.pu.ReadyEntries() }, ts, lg)
 	co.pu = feed.NewPublisher(feed.PublisherConfig{
 		Name: se.Name, DataCentre: se.DataCentre, SilenceTimeout: maxMissedAnnouncements * se.Timing.Announcement, Quarantine: qa,
+		NeededCopies: func(members int) int {
+			return departure.Needed(se.Losses, max(members, len(ls.se.Load().Seeds)))
+		},
 		GrantQuotas:  qo.grant,
 		SharedStalls: se.Stalls.Shared,
 		Overload:     se.Overload.Shared,
@@ -222,10 +229,28 @@
 func (co *control) Evacuated() evacuation.Set { return co.nd.Evacuations() }
 
 // Announce processes a backend server's announcement.
-func (co *control) Announce(se registry.Server) { co.pu.Announce(se) }
+func (co *control) Announce(ctx context.Context, se registry.Server) error {
+	return co.awaitStored(ctx, se.ID, co.pu.Announce(se))
+}
 
 // Leave removes a backend server that says that it leaves.
-func (co *control) Leave(id string) { co.pu.Leave(id) }
+func (co *control) Leave(ctx context.Context, id string) error {
+	return co.awaitStored(ctx, id, co.pu.Leave(id))
+}
+
+// awaitStored waits until a departure is stored on enough control instances; 0 is none.
+func (co *control) awaitStored(ctx context.Context, id string, departure uint64) error {
+	if departure == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := co.pu.AwaitStored(ctx, departure)
+	if err != nil {
+		co.lg.Warn("departure-not-stored", zap.String("ID", id), zap.Error(err))
+	}
+	return err
+}
 
 // Ignore records that an announcement was ignored and why.
 func (co *control) Ignore(id, detail string) { co.pu.Ignore(id, detail) }
--- a/tier/departure_test.go
+++ b/tier/departure_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -66,7 +68,32 @@
 	co, en := cl.controls[0], cl.entries[1]
 	qt.Assert(t, cl.leave(leaving, co), qt.Equals, http.StatusOK)
 	qt.Assert(t, co.shutdown(), qt.IsNil)
+	co.se.FirstStart = false
 	cl.start(co)
 	cl.start(en)
 	cl.checkNotAsked(en, leaving)
 }
+
+// Guards against a leave that is acknowledged before it is on a second disk, and lost if the
+// control instance that acknowledged it ends at once or loses its disk. One control instance
+// is away meanwhile, and so are all entry instances afterwards.
+func TestAcknowledgedLeaveOutlivesDisk(t *testing.T) {
+	cl, leaving := newDepartureCluster(t)
+	told, other, away := cl.controls[0], cl.controls[1], cl.controls[2]
+	qt.Assert(t, away.shutdown(), qt.IsNil)
+	qt.Assert(t, cl.leave(leaving, told), qt.Equals, http.StatusOK)
+	for _, co := range []*instance{told, other} {
+		data, err := os.ReadFile(filepath.Join(co.se.DataFolder, "departures"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, strings.Contains(string(data), leaving.id), qt.IsTrue)
+	}
+	for _, in := range []*instance{told, cl.entries[0]} {
+		qt.Assert(t, in.shutdown(), qt.IsNil)
+	}
+	qt.Assert(t, os.RemoveAll(told.se.DataFolder), qt.IsNil)
+	told.se.FirstStart = false
+	for _, in := range []*instance{told, away, cl.entries[1]} {
+		cl.start(in)
+	}
+	cl.checkNotAsked(cl.entries[1], leaving)
+}
--- a/tier/departurestore.go
+++ b/tier/departurestore.go
@@ -18,7 +18,7 @@
 func (ss stateStore) restoreDepartures() {
 	var ses []registry.Server
 	if ss.load(departuresFile, &ses) {
-		ss.pu.Depart(ses)
+		ss.pu.Depart(ses, nil)
 		ss.lg.Info("departures-restored", zap.Int("Servers", len(ses)))
 	}
 }
@@ -36,7 +36,7 @@
 			return ctx.Err()
 		case <-ss.pu.DeparturesChanged():
 		}
-		for !ss.save(departuresFile, ss.pu.Departing()) {
+		for !ss.saveDepartures() {
 			if err := ss.ts.Sleep(ctx, departuresRetryDelay); err != nil {
 				return err
 			}
@@ -44,5 +44,15 @@
 	}
 }
 
+// saveDepartures reports whether the departures are on disk.
+func (ss stateStore) saveDepartures() bool {
+	ses, number := ss.pu.Departing()
+	if !ss.save(departuresFile, ses) {
+		return false
+	}
+	ss.pu.SetStored(number)
+	return true
+}
+
 // departuresRetryDelay is the delay after a failure to save the departures.
 const departuresRetryDelay = 200 * time.Millisecond
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -52,10 +52,12 @@
 	// Evacuated returns the evacuated data centres that this instance knows of.
 	Evacuated() evacuation.Set
 	// Announce processes an announcement of a backend server. A server that leaves is
-	// announced with the state Gone, and Born tells which start of it leaves.
-	Announce(se registry.Server)
-	// Leave removes a backend server that says that it leaves.
-	Leave(id string)
+	// announced with the state Gone, and Born tells which start of it leaves. If it is
+	// Draining or Gone, Announce returns nil once enough control instances have stored that,
+	// and an error if they can't be reached in time; it is known here all the same.
+	Announce(ctx context.Context, se registry.Server) error
+	// Leave removes a backend server that says that it leaves. It returns as Announce does.
+	Leave(ctx context.Context, id string) error
 	// Ignore records that an announcement was ignored because it came under an id that no
 	// backend server uses. detail gives the reason.
 	Ignore(id, detail string)
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -107,6 +107,7 @@
 	set           *vm.Set
 	accept, read  callMetrics
 	evacuate      callMetrics
+	depart        callMetrics
 	announcements *vm.Counter
 	leaves        *vm.Counter
 	ignored       *vm.Counter
@@ -130,7 +131,7 @@
 		}
 	}
 	return &instrumentedAPI{
-		next: co, ts: ts, set: set, accept: series("Accept"), read: series("Read"), evacuate: series("Evacuate"),
+		next: co, ts: ts, set: set, accept: series("Accept"), read: series("Read"), evacuate: series("Evacuate"), depart: series("Depart"),
 		announcements: set.NewCounter("balsamwinch_announcements_total"),
 		leaves:        set.NewCounter("balsamwinch_leaves_total"),
 		ignored:       set.NewCounter("balsamwinch_ignored_announcements_total"),
@@ -173,16 +174,24 @@
 // Evacuated forwards the call.
 func (ia *instrumentedAPI) Evacuated() evacuation.Set { return ia.next.Evacuated() }
 
-// Announce counts and forwards the call.
-func (ia *instrumentedAPI) Announce(se registry.Server) {
+// Announce counts and forwards the call. Departures are measured, too.
+func (ia *instrumentedAPI) Announce(ctx context.Context, se registry.Server) error {
 	ia.announcements.Inc()
-	ia.next.Announce(se)
+	start := ia.ts.Now()
+	err := ia.next.Announce(ctx, se)
+	if se.State != registry.Ready {
+		ia.depart.observe(ia.ts.Now().Sub(start), err)
+	}
+	return err
 }
 
-// Leave counts and forwards the call.
-func (ia *instrumentedAPI) Leave(id string) {
+// Leave counts, measures and forwards the call.
+func (ia *instrumentedAPI) Leave(ctx context.Context, id string) error {
 	ia.leaves.Inc()
-	ia.next.Leave(id)
+	start := ia.ts.Now()
+	err := ia.next.Leave(ctx, id)
+	ia.depart.observe(ia.ts.Now().Sub(start), err)
+	return err
 }
 
 // Ignore counts and forwards the call.
--- a/tier/meters_test.go
+++ b/tier/meters_test.go
@@ -108,8 +108,8 @@
 }
 func (fa fakeAPI) Evacuate(context.Context, string, bool, string) error { return fa.err }
 func (fakeAPI) Evacuated() evacuation.Set                               { return evacuation.Set{Revision: 3} }
-func (fakeAPI) Announce(registry.Server)                                {}
-func (fakeAPI) Leave(string)                                            {}
+func (fa fakeAPI) Announce(context.Context, registry.Server) error      { return fa.err }
+func (fa fakeAPI) Leave(context.Context, string) error                  { return fa.err }
 func (fakeAPI) Ignore(string, string)                                   {}
 func (fakeAPI) BodyLimit() int64                                        { return 9 }
 func (fa fakeAPI) Addresses(string, string, string) ([]string, time.Duration) {
@@ -125,8 +125,8 @@
 		qt.Assert(t, version, qt.Equals, uint64(7))
 		qt.Assert(t, string(data), qt.Equals, "x")
 		qt.Assert(t, ia.BodyLimit(), qt.Equals, int64(9))
-		ia.Announce(registry.Server{})
-		ia.Leave("i-1")
+		qt.Assert(t, ia.Announce(t.Context(), registry.Server{}), qt.IsNil)
+		qt.Assert(t, ia.Leave(t.Context(), "i-1"), qt.IsNil)
 		ia.Ignore("i-1", "no state")
 		addrs, keep := ia.Addresses("", "", "")
 		qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.1:80"})
@@ -143,6 +143,16 @@
 			`balsamwinch_control_call_seconds_bucket{call="Accept",le="+Inf"} 2`,
 			`balsamwinch_control_call_seconds_sum{call="Accept"} 0.04`,
 			`balsamwinch_control_call_seconds_count{call="Accept"} 2`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.001"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.003"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.01"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.03"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.1"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="0.3"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="1"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="3"} 1`,
+			`balsamwinch_control_call_seconds_bucket{call="Depart",le="+Inf"} 1`,
+			`balsamwinch_control_call_seconds_count{call="Depart"} 1`,
 			`balsamwinch_control_call_seconds_bucket{call="Read",le="0.3"} 1`,
 			`balsamwinch_control_call_seconds_bucket{call="Read",le="1"} 1`,
 			`balsamwinch_control_call_seconds_bucket{call="Read",le="3"} 1`,
