emulate, soak: a fault in which a control instance is killed as it acknowledges a leave

The soak lets servers drain, and kills control instances, but never one at the moment of an acknowledgement. LeaveKill lets a server leave without draining first, kills the control instance that it told as soon as that has answered, in half of the cases without its data, and looks at the arrivals at the server as for a drain. It comes last among the kinds.

--- a/emulate/server.go
+++ b/emulate/server.go
@@ -249,6 +249,24 @@
 	return errors.Join(announceErr, se.hs.Shutdown(ctx))
 }
 
+// Leave announces to an that the server leaves, which goes on serving. ShutDownAfterDelay
+// must follow.
+func (se *Server) Leave(ctx context.Context, an Announcer) error {
+	se.state.Store(int64(registry.Gone))
+	if err := an.Leave(ctx, se.cf.ID); err != nil {
+		return err
+	}
+	se.emit(EventDrainAcknowledged, nil)
+	return nil
+}
+
+// ShutDownAfterDelay continues to serve for DrainDelay, and shuts down once the requests have
+// finished.
+func (se *Server) ShutDownAfterDelay(ctx context.Context) error {
+	_ = se.ts.Sleep(ctx, se.cf.DrainDelay)
+	return se.hs.Shutdown(ctx)
+}
+
 func (se *Server) addCounts(rq *http.Request, add Counts) {
 	segment, _, _ := strings.Cut(strings.TrimPrefix(rq.URL.Path, "/"), "/")
 	se.mu.Lock()
--- a/emulate/soak/injector.go
+++ b/emulate/soak/injector.go
@@ -125,8 +125,14 @@
 	if fa.Kind == ControlStop {
 		end = ij.lo.Stop
 	}
+	serverEnded := make(chan error, 1)
+	if fa.Kind == LeaveKill {
+		end = func(name string) error { return ij.killAfterLeave(ctx, fa, name, serverEnded) }
+	} else {
+		close(serverEnded)
+	}
 	err := concurrently(names, end)
-	if fa.Kind == ControlLose {
+	if fa.Kind == ControlLose || fa.Kind == LeaveKill && fa.Value < 0.5 {
 		err = errors.Join(err, concurrently(names, ij.lo.DeleteData))
 	}
 	ij.waitOut(ctx, fa)
@@ -134,7 +140,21 @@
 	if fa.Kind == ControlAll {
 		ij.op.readBack(ctx)
 	}
-	return err
+	return errors.Join(err, <-serverEnded)
+}
+
+// killAfterLeave lets a backend server leave, and kills the control instance that it told as
+// soon as that has answered. ended receives the result of the server's shutdown.
+func (ij *injector) killAfterLeave(ctx context.Context, fa Fault, name string, ended chan<- error) error {
+	position := int(fa.Value*float64(2*ij.cf.numPositions())) % ij.cf.numPositions()
+	old := ij.fl.serverAt(position)
+	replaceErr := ij.fl.replace(position, old, "")
+	co := emulate.NewControlClient(ij.lo.ControlAddresses()[fa.Target : fa.Target+1])
+	defer co.Close()
+	_ = old.Leave(ctx, co) // Without an acknowledgement, nothing is promised.
+	killErr := ij.lo.Kill(name)
+	go func() { ended <- old.ShutDownAfterDelay(ctx) }()
+	return errors.Join(replaceErr, killErr)
 }
 
 // startInstances starts instances.
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -39,6 +39,7 @@
 	RequestFatal  Kind = "RequestFatal"  // repeats a request that crashes each server that runs it
 	Evacuate      Kind = "Evacuate"      // evacuates a data centre and withdraws the evacuation
 	ControlHang   Kind = "ControlHang"   // suspends a control instance with its connections open
+	LeaveKill     Kind = "LeaveKill"     // a server leaves; the control instance that acknowledged it is killed at once, in half of the cases without its data
 )
 
 // Kinds returns all kinds.
@@ -48,7 +49,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, ControlHang, RequestFatal, Evacuate, // Appended, so that existing seeds draw the same faults as before.
+		ServerAgain, ControlHang, RequestFatal, Evacuate, LeaveKill, // Appended, so that existing seeds draw the same faults as before.
 	}
 }
 
@@ -67,7 +68,7 @@
 
 func (ki Kind) component() component {
 	switch ki {
-	case ControlStop, ControlKill, ControlLose, ControlAll, ControlHang:
+	case ControlStop, ControlKill, ControlLose, ControlAll, ControlHang, LeaveKill:
 		return componentControl
 	case EntryStop, EntryKill:
 		return componentEntry
@@ -102,7 +103,7 @@
 	switch ki {
 	case EntryStop:
 		return stopTimeout
-	case ServerDrain:
+	case ServerDrain, LeaveKill:
 		return cf.Checks.Drain + lingerDelay
 	case RequestFatal:
 		return quarantineDelay + restartTimeout
