gateway: the time until which a request is accepted during a stop stays the same

It was computed for each check from the last durations of the route, which other requests change meanwhile. If it had moved to a later time after a slow body had been given up, the caller would have got 400 for a proper request. Names of package departure and of the stop's state are those used elsewhere. go test -race ./gateway -run 'Stop|Body|Reject' passes.

--- a/departure/departure.go
+++ b/departure/departure.go
@@ -1,7 +1,6 @@
 // Package departure decides when the departure of a backend server is stored on enough
 // control instances to be acknowledged. Each control instance numbers the departures that it
-// learns of in a sequence of its own; an instance that has stored a sequence has stored all
-// lower ones.
+// learns of; an instance that has stored a number has stored all lower ones.
 package departure
 
 import (
@@ -16,7 +15,7 @@
 	return max(1, min(losses+1, instances-losses))
 }
 
-// Acknowledged returns the highest sequence that is stored on the needed number of control
+// Acknowledged returns the highest number that is stored on the needed number of control
 // instances, given the highest one that each of them has stored. If none are needed, it is
 // the highest of all numbers.
 func Acknowledged(needed int, stored []uint64) uint64 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,6 +48,8 @@
 	start    time.Time
 	body     []byte
 
+	acceptUntil time.Time // until when it is accepted during a stop; zero before
+
 	code       result.Code
 	status     int
 	detail     string
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -96,7 +96,7 @@
 	defer ex.watchStalls()()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	stopping := ex.ca.sv.stop.started.Done()
+	stopping := ex.ca.sv.stop.serving.Done()
 	if ex.stopBy() {
 		stopping = nil
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -13,13 +13,13 @@
 type stopState struct {
 	history  *shutdown.History
 	answerBy atomic.Pointer[time.Time] // nil unless the instance is being stopped
-	started  context.Context           // ends when the stop begins
-	start    context.CancelFunc
+	serving  context.Context           // ends when the stop begins
+	begin    context.CancelFunc
 }
 
 func newStopState() stopState {
-	started, start := context.WithCancel(context.Background())
-	return stopState{history: shutdown.NewHistory(), started: started, start: start}
+	serving, begin := context.WithCancel(context.Background())
+	return stopState{history: shutdown.NewHistory(), serving: serving, begin: begin}
 }
 
 // AnswerBy makes the gateway answer all requests by the given time, since the process ends
@@ -28,27 +28,25 @@
 // in, if they suffice, or else a failure that says whether the request may have run.
 func (sv *Server) AnswerBy(at time.Time) {
 	sv.stop.answerBy.Store(&at)
-	sv.stop.start()
+	sv.stop.begin()
 }
 
-// acceptUntil returns until when the request is accepted. It returns false if the instance
-// isn't being stopped.
-func (ca *call) acceptUntil() (time.Time, bool) {
+// acceptanceEnd returns until when the request is accepted, or the zero time if the instance
+// isn't being stopped. Once known, it stays the same.
+func (ca *call) acceptanceEnd() time.Time {
 	st := &ca.sv.stop
-	answerBy := st.answerBy.Load()
-	if answerBy == nil {
-		return time.Time{}, false
+	if answerBy := st.answerBy.Load(); answerBy != nil && ca.acceptUntil.IsZero() {
+		ca.acceptUntil = shutdown.AcceptUntil(*answerBy, shutdown.Request{
+			Timeout: ca.timeout(), TargetLatency: ca.ro.TargetLatency, Expected: st.history.Expected(ca.ro.Name),
+		})
 	}
-	return shutdown.AcceptUntil(*answerBy, shutdown.Request{
-		Timeout: ca.timeout(), TargetLatency: ca.ro.TargetLatency, Expected: st.history.Expected(ca.ro.Name),
-	}), true
+	return ca.acceptUntil
 }
 
 // acceptStopping reports whether the request can be answered before the process ends, and
 // rejects it if not. A request that is only partly received isn't awaited any longer then.
 func (ca *call) acceptStopping() bool {
-	until, stopping := ca.acceptUntil()
-	if !stopping || ca.sv.ts.Now().Before(until) {
+	if until := ca.acceptanceEnd(); until.IsZero() || ca.sv.ts.Now().Before(until) {
 		return true
 	}
 	ca.wr.Header().Set("Connection", "close")
@@ -62,11 +60,9 @@
 func (ca *call) limitBodyRead() (done func()) {
 	rc := http.NewResponseController(ca.wr)
 	finished := make(chan struct{})
-	unwatch := context.AfterFunc(ca.sv.stop.started, func() {
+	unwatch := context.AfterFunc(ca.sv.stop.serving, func() {
 		defer close(finished)
-		if until, stopping := ca.acceptUntil(); stopping {
-			_ = rc.SetReadDeadline(until)
-		}
+		_ = rc.SetReadDeadline(ca.acceptanceEnd())
 	})
 	return func() {
 		if unwatch() {
@@ -75,7 +71,7 @@
 		// Otherwise the server would take the deadline for a caller that has left. If it
 		// has passed, the request is rejected.
 		<-finished
-		if until, _ := ca.acceptUntil(); ca.sv.ts.Now().Before(until) {
+		if ca.sv.ts.Now().Before(ca.acceptanceEnd()) {
 			_ = rc.SetReadDeadline(time.Time{})
 		}
 	}
--- a/tier/control.go
+++ b/tier/control.go
@@ -238,14 +238,15 @@
 	return co.awaitStored(ctx, id, co.pu.Leave(id))
 }
 
-// awaitStored waits until a departure is stored on enough control instances; 0 is none.
-func (co *control) awaitStored(ctx context.Context, id string, departure uint64) error {
-	if departure == 0 {
+// awaitStored waits until the departure with a number is stored on enough control instances;
+// 0 is none.
+func (co *control) awaitStored(ctx context.Context, id string, number uint64) error {
+	if number == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := co.pu.AwaitStored(ctx, departure)
+	err := co.pu.AwaitStored(ctx, number)
 	if err != nil {
 		co.lg.Warn("departure-not-stored", zap.String("ID", id), zap.Error(err))
 	}
