--- a/feed/departures_test.go
+++ b/feed/departures_test.go
@@ -211,3 +211,28 @@
 		c.Assert(sc.leave("a1"), qt.IsNil)
 	})
 }
+
+// Guards against a server that has left and hides the one that has its address now, because a
+// control instance comes back with a list of servers from before the departure.
+func TestLeftServerDoesNotHideItsSuccessor(t *testing.T) {
+	runInBubble(t, func(c *qt.C, cl *cluster) {
+		scs := cl.storingGroup()
+		left, next := server("a1", 1, registry.Ready), server("a2", 1, registry.Ready)
+		next.Address = left.Address
+		for _, sc := range scs {
+			sc.pu.Announce(left)
+		}
+		scs[0].end()
+		c.Assert(scs[1].leave(left.ID), qt.IsNil)
+		scs[2].pu.Announce(next)
+		cl.advance(time.Second)
+		scs[0].start()
+		scs[0].pu.Restore([]registry.Server{left}, testSilenceTimeout)
+		scs[0].join([]*control{scs[1].control, scs[2].control})
+		en := cl.entry("entry", scs[0].member.Address, scs[1].member.Address, scs[2].member.Address)
+		cl.advance(time.Second)
+		c.Assert(en.serverStates(), qt.DeepEquals, []string{"a2 Ready"})
+		ses, _ := scs[0].pu.Servers()
+		c.Assert(ses, qt.HasLen, 0, qt.Commentf("the others have told it"))
+	})
+}
