--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -187,16 +187,16 @@
 		writeError(wr, http.StatusBadRequest, invalidStateDetail)
 		return
 	}
-	writeDeparted(wr, ch.co.Announce(rq.Context(), se))
+	acknowledge(wr, ch.co.Announce(rq.Context(), se))
 }
 
 func (ch *controlHandler) leave(wr http.ResponseWriter, rq *http.Request) {
-	writeDeparted(wr, ch.co.Leave(rq.Context(), rq.PathValue("id")))
+	acknowledge(wr, ch.co.Leave(rq.Context(), rq.PathValue("id")))
 }
 
-// writeDeparted acknowledges the call of a backend server, or asks it to call another control
+// acknowledge acknowledges the call of a backend server, or asks it to call another control
 // instance.
-func writeDeparted(wr http.ResponseWriter, err error) {
+func acknowledge(wr http.ResponseWriter, err error) {
 	if err != nil {
 		writeError(wr, http.StatusServiceUnavailable, err.Error())
 		return
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -132,8 +132,8 @@
 
 // DrawSchedule returns the faults of a run in the order of their starts. Equal arguments
 // give equal faults. No fault extends into Quiet, at most AtOnce are active at a time,
-// at any time at least one entry instance has no fault, no backend server has two faults,
-// and control has one at a time with Mend in between.
+// at any time at least one entry instance has no fault, no backend server has two faults
+// (but LeaveKill may take one that has a fault), and control has one at a time with Mend in between.
 func DrawSchedule(seed uint64, cf Settings) []Fault {
 	ge := &generator{cf: cf, rd: rand.New(rand.NewPCG(seed, scheduleStream))}
 	for at := ge.drawGap(); at < cf.Length-cf.Quiet; at += ge.drawGap() {
--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -22,7 +22,7 @@
 
 // Announce records a backend server's announcement of itself. One that changes nothing is
 // not published. If the server says that it departs, departure is the number to pass to
-// AwaitStored, and otherwise 0.
+// AwaitStored, which covers this departure and all earlier ones; otherwise it is 0.
 func (pu *Publisher) Announce(se registry.Server) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -107,12 +107,6 @@
 	stored      uint64 // number up to which a control instance has stored departures
 }
 
-// encodedSnapshot is an encoded snapshot and the time at which it was made.
-type encodedSnapshot struct {
-	pa link.PreparedMessage
-	at time.Time
-}
-
 // pendingUpdate collects the changes for the next Update.
 type pendingUpdate struct {
 	members bool
@@ -272,7 +266,9 @@
 	}}
 	pu.subscribers[sb] = struct{}{}
 	pu.refreshEntry(now, first.Name)
-	pu.updateAcknowledged()
+	if sb.fromControl {
+		pu.updateAcknowledged()
+	}
 	pu.ll.info(now, "entry-link-up", zap.String("Entry", first.Name), zap.String("Address", first.Address),
 		zap.Stringer("State", first.State), zap.Uint64("Version", first.Version))
 	if err := pu.sendSnapshot(now, co); err != nil {
@@ -281,39 +277,6 @@
 	return sb
 }
 
-// sendSnapshot sends a subscriber the full state. Subscribers that connect between two
-// updates get the same snapshot; the next update contains what has changed since it was
-// encoded.
-//
-// Otherwise a control instance would encode hundreds of records hundreds of times, just
-// when callers wait for entry instances that have restarted. With 191 entry instances
-// that connect at once and 126 backend servers, that took 26 to 35 ms of one core, and 2
-// to 3 ms with a shared snapshot (BenchmarkConnectBurst, on a busy machine).
-func (pu *Publisher) sendSnapshot(now time.Time, co *link.Conn) error {
-	if pu.lastSnapshot == nil || now.Sub(pu.lastSnapshot.at) >= minFlushInterval {
-		pa, err := co.Prepare(pu.snapshot(now))
-		if err != nil {
-			return err
-		}
-		pu.lastSnapshot = &encodedSnapshot{pa: pa, at: now}
-	}
-	return co.SendPrepared(pu.lastSnapshot.pa)
-}
-
-func (pu *Publisher) snapshot(now time.Time) Snapshot {
-	members := pu.members
-	if members == nil && pu.cf.Members != nil {
-		members = sortedMembers(pu.cf.Members())
-	}
-	return Snapshot{
-		Name: pu.cf.Name, DataCentre: pu.cf.DataCentre, Members: members, Version: pu.version, Sharers: pu.sharers,
-		Entries: pu.filterEntries(func(Entry) bool { return true }), Servers: pu.catalog.Records(now),
-		Suspects: pu.qa.Records(now), Evacuations: pu.evacuations,
-		Features:   supportedFeatures | pu.stallFeature() | overloadFeatures(pu.cf.Overload),
-		Departures: pu.departures.last,
-	}
-}
-
 // removeSubscriber removes a subscriber whose link has ended.
 func (pu *Publisher) removeSubscriber(sb *subscriber, err error) {
 	now := pu.ts.Now()
--- a/registry/catalog.go
+++ b/registry/catalog.go
@@ -70,7 +70,7 @@
 	if se.State == Gone {
 		return ct.leave(at, se.ID, se.Born)
 	}
-	if was, ok := ct.left.get(se.ID); ok && se.Born <= was.Born || se.ID == "" || ct.implausible(se) {
+	if se.ID == "" || ct.hasLeft(se) || ct.implausible(se) {
 		return false
 	}
 	as, ok := ct.servers[se.ID]
@@ -145,9 +145,8 @@
 	defer ct.mu.Unlock()
 	at := ct.clock.advance(now)
 	for _, se := range ses {
-		was, left := ct.left.get(se.ID)
 		_, known := ct.servers[se.ID]
-		if left && se.Born <= was.Born || known || se.ID == "" || se.State == Gone {
+		if known || se.ID == "" || se.State == Gone || ct.hasLeft(se) {
 			continue
 		}
 		ct.add(at-max(0, ct.silenceTimeout-keep), se)
@@ -182,6 +181,12 @@
 	return true
 }
 
+// hasLeft reports whether the incarnation of a record, or a later one, has left.
+func (ct *Catalog) hasLeft(se Server) bool {
+	was, ok := ct.left.get(se.ID)
+	return ok && se.Born <= was.Born
+}
+
 // Left returns the record of a server that has left.
 func (ct *Catalog) Left(id string) (Server, bool) {
 	ct.mu.Lock()
@@ -200,7 +205,7 @@
 	if se.State == Gone {
 		return ct.leave(at, se.ID, se.Born)
 	}
-	if was, ok := ct.left.get(se.ID); ok && se.Born <= was.Born || se.ID == "" || se.State != Draining {
+	if se.ID == "" || se.State != Draining || ct.hasLeft(se) {
 		return false
 	}
 	as, ok := ct.servers[se.ID]
--- a/tier/control.go
+++ b/tier/control.go
@@ -38,7 +38,8 @@
 	// resignTimeout is how long a stopping control instance goes on serving.
 	resignTimeout = 300 * time.Millisecond
 	// callTimeout is how long a stopping control instance waits for the calls in flight,
-	// none of which takes longer than proposeTimeout or readTimeout once it is read.
+	// none of which takes longer than proposeTimeout, storeTimeout or readTimeout once it is
+	// read.
 	callTimeout = proposeTimeout + 200*time.Millisecond
 )
 
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -174,7 +174,7 @@
 // Evacuated forwards the call.
 func (ia *instrumentedAPI) Evacuated() evacuation.Set { return ia.next.Evacuated() }
 
-// Announce counts and forwards the call. Departures are measured, too.
+// Announce counts and forwards the call, and times it if the server departs.
 func (ia *instrumentedAPI) Announce(ctx context.Context, se registry.Server) error {
 	ia.announcements.Inc()
 	start := ia.ts.Now()
--- a/tier/stop_test.go
+++ b/tier/stop_test.go
@@ -38,7 +38,11 @@
 			}
 			answers <- re
 		}()
-		<-arrived
+		select {
+		case <-arrived:
+		case re := <-answers:
+			t.Fatalf("status %d before the request reached the server: %s", re.status, re.body)
+		}
 	}
 	ask()
 	en.stop()
