backend: a test of silent connections ends its request while the clock runs

Cause: the test left its first request to a context that ends in a cleanup, when the clock of the synctest bubble has stopped. The request is then abandoned. If its Cancel is answered before the client is closed, it waits for a timer of 20 ms, which never fires. With a running clock the timer ends it, so the client is right.

Change: the test cancels the request itself and waits in the bubble. All checks stand as they were, before that.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -132,7 +132,8 @@
 		replied := time.Now()
 		time.Sleep(10 * time.Millisecond)
 		ta := target(2)
-		go cl.Do(c.Context(), ta, request("lost"))
+		ctx, cancel := context.WithCancel(context.Background())
+		go cl.Do(ctx, ta, request("lost"))
 		synctest.Wait()
 		ta.ReplySince = time.Now()
 		time.Sleep(10 * time.Millisecond)
@@ -142,6 +143,8 @@
 		_, err = cl.Do(context.Background(), ta, request("again")) // over the connection that replied
 		c.Assert(err, qt.IsNil)
 		c.Check(cl.Stats("sv").Opened, qt.Equals, uint64(3))
+		cancel()
+		time.Sleep(time.Second) // The clock stops with the test, and what the request leaves behind needs it.
 	})
 }
 
