--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -22,7 +22,9 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(*world) error{
-	"other-writer": otherWriter,
+	"other-writer":   otherWriter,
+	"stray-draining": strayDraining,
+	"first-start":    firstStart,
 }
 
 func main() {
@@ -58,7 +60,7 @@
 	}
 	wo.rec.note("case %s, trouble %v", name, wo.trouble)
 	defer wo.stop()
-	err = wo.start()
+	err = wo.prepare()
 	if err == nil {
 		err = play(wo)
 	}
--- a/review/second/platform/other_writer.go
+++ b/review/second/platform/other_writer.go
@@ -13,6 +13,9 @@
 // than the drain period after that.
 func otherWriter(wo *world) error {
 	const leaving = "i-7f3a91c2"
+	if err := wo.start(); err != nil {
+		return err
+	}
 	var mu sync.Mutex
 	arrivals := map[string][]time.Time{}
 	ran := func(lf *leaf, _ *http.Request) {
--- a/review/second/platform/stray_draining.go
+++ b/review/second/platform/stray_draining.go
@@ -6,8 +6,6 @@
 	"time"
 )
 
-func init() { cases["stray-draining"] = strayDraining }
-
 // twoRoutes returns a configuration whose second route is there from version 2 on.
 func twoRoutes(version int) string {
 	const service = `{"name":%q,"health_path":"/health","max_connections":110,"protocol":"h1","tls":false}`
@@ -26,6 +24,9 @@
 // leafs' own heartbeats go on and hold. The route to the service, which was added by a later
 // version, must be served as often as the first one.
 func strayDraining(wo *world) error {
+	if err := wo.start(); err != nil {
+		return err
+	}
 	zones := []string{"miraflores", "surquillo", "san-isidro"}
 	var ids []string
 	for _, service := range []string{"archivo", "agenda-visitas"} {
--- a/review/second/platform/world.go
+++ b/review/second/platform/world.go
@@ -50,6 +50,7 @@
 // instance is a process of the system.
 type instance struct {
 	name, ip string
+	zone     string
 	core     bool
 	file     string
 	log      string
@@ -58,8 +59,8 @@
 
 func (in *instance) at(port int) string { return fmt.Sprintf("%s:%d", in.ip, port) }
 
-// start starts the instances and waits until the control instances answer.
-func (wo *world) start() error {
+// prepare chooses the addresses of the instances and writes their settings.
+func (wo *world) prepare() error {
 	if err := wo.findAddresses(); err != nil {
 		return err
 	}
@@ -70,10 +71,23 @@
 	for ix, zone := range zones[:2] {
 		wo.entries = append(wo.entries, &instance{name: "frontend-" + zone + "-1", ip: fmt.Sprintf("%s.%d", wo.prefix, 20+ix)})
 	}
-	for ix, in := range append(append([]*instance{}, wo.controls...), wo.entries...) {
-		if err := wo.writeSettings(in, zones[ix%len(zones)], true); err != nil {
+	for ix, in := range wo.instances() {
+		in.zone = zones[ix%len(zones)]
+		if err := wo.writeSettings(in, true); err != nil {
 			return err
 		}
+	}
+	return nil
+}
+
+// instances returns the control instances and then the entry instances.
+func (wo *world) instances() []*instance {
+	return append(append([]*instance{}, wo.controls...), wo.entries...)
+}
+
+// start starts the instances and waits until the control instances answer.
+func (wo *world) start() error {
+	for _, in := range wo.instances() {
 		if err := wo.run(in); err != nil {
 			return err
 		}
@@ -142,7 +156,7 @@
 	for _, lf := range wo.leafs {
 		lf.close()
 	}
-	for _, in := range append(append([]*instance{}, wo.controls...), wo.entries...) {
+	for _, in := range wo.instances() {
 		if in.cmd != nil && in.cmd.Process != nil {
 			_ = in.cmd.Process.Kill()
 			_ = in.cmd.Wait()
@@ -156,7 +170,7 @@
 		return
 	}
 	_ = os.MkdirAll(folder, 0o755)
-	for _, in := range append(append([]*instance{}, wo.controls...), wo.entries...) {
+	for _, in := range wo.instances() {
 		if data, err := os.ReadFile(in.log); err == nil {
 			_ = os.WriteFile(filepath.Join(folder, in.name+".log"), data, 0o644)
 		}
@@ -164,7 +178,7 @@
 }
 
 // settings returns what the platform tells an instance.
-func (wo *world) settings(in *instance, zone string, bootstrap bool) map[string]any {
+func (wo *world) settings(in *instance, bootstrap bool) map[string]any {
 	var seeds []string
 	for _, co := range wo.controls {
 		seeds = append(seeds, co.at(portControl))
@@ -182,7 +196,7 @@
 	}
 	return map[string]any{
 		"node_name": in.name, "role": class, "machine_class": class, "serves": serves,
-		"ip": in.ip, "zone": zone, "region": "lima",
+		"ip": in.ip, "zone": in.zone, "region": "lima",
 		"zones":          map[string]any{"miraflores": "lima", "surquillo": "lima", "san-isidro": "lima"},
 		"bind_addresses": binds, "internal_ports": []any{portLink, portLink + 15}, "seeds": seeds,
 		"bootstrap": bootstrap, "loss_counts": in.core, "limits": limits, "data_dir": data,
@@ -198,7 +212,7 @@
 }
 
 // writeSettings fills in the template of the settings, as the platform does.
-func (wo *world) writeSettings(in *instance, zone string, bootstrap bool) error {
+func (wo *world) writeSettings(in *instance, bootstrap bool) error {
 	text, err := os.ReadFile(wo.template)
 	if err != nil {
 		return err
@@ -209,7 +223,7 @@
 			return err
 		}
 	}
-	return os.WriteFile(in.file, []byte(fill(string(text), wo.settings(in, zone, bootstrap))), 0o644)
+	return os.WriteFile(in.file, []byte(fill(string(text), wo.settings(in, bootstrap))), 0o644)
 }
 
 var (
