tier: name the writer of an announcement in the log

Cause: the lines on announcements and leaves had the ID and the claim, not the address of the call. Change: Announce, Leave and Ignore take the address; backend-server-announced, -left and announcement-ignored write it as From.

--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -170,7 +170,7 @@
 	}
 	var an announcement
 	if err := json.Unmarshal(data, &an); err != nil {
-		ch.co.Ignore(rq.PathValue("id"), err.Error())
+		ch.co.Ignore(rq.PathValue("id"), rq.RemoteAddr, err.Error())
 		writeError(wr, http.StatusBadRequest, err.Error())
 		return
 	}
@@ -183,15 +183,15 @@
 	case registry.Draining.String():
 		se.State = registry.Draining
 	default:
-		ch.co.Ignore(se.ID, invalidStateDetail)
+		ch.co.Ignore(se.ID, rq.RemoteAddr, invalidStateDetail)
 		writeError(wr, http.StatusBadRequest, invalidStateDetail)
 		return
 	}
-	acknowledge(wr, ch.co.Announce(rq.Context(), se))
+	acknowledge(wr, ch.co.Announce(rq.Context(), se, rq.RemoteAddr))
 }
 
 func (ch *controlHandler) leave(wr http.ResponseWriter, rq *http.Request) {
-	acknowledge(wr, ch.co.Leave(rq.Context(), rq.PathValue("id")))
+	acknowledge(wr, ch.co.Leave(rq.Context(), rq.PathValue("id"), rq.RemoteAddr))
 }
 
 // acknowledge acknowledges the call of a backend server, or asks it to call another control
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -281,9 +281,17 @@
 
 func (rc *recordingControl) Evacuated() evacuation.Set { return rc.evacuated }
 
+func (rc *recordingControl) Announce(ctx context.Context, se registry.Server, _ string) error {
+	return rc.recordingAnnouncer.Announce(ctx, se)
+}
+
+func (rc *recordingControl) Leave(ctx context.Context, id, _ string) error {
+	return rc.recordingAnnouncer.Leave(ctx, id)
+}
+
 func (rc *recordingControl) BodyLimit() int64 { return 1 << 16 }
 
-func (rc *recordingControl) Ignore(id, detail string) {
+func (rc *recordingControl) Ignore(id, _, detail string) {
 	rc.ignored = append(rc.ignored, id+": "+detail)
 }
 
--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -20,23 +20,23 @@
 	}
 }
 
-// Announce records a backend server's announcement of itself. One that changes nothing is
-// not published. If the server says that it departs, departure is the number to pass to
+// Announce records a backend server's announcement of itself, which came from the given
+// address. One that changes nothing is not published. If the server says that it departs, departure is the number to pass to
 // AwaitStored, which covers this departure and all earlier ones; otherwise it is 0.
-func (pu *Publisher) Announce(se registry.Server) (departure uint64) {
+func (pu *Publisher) Announce(se registry.Server, from string) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	if se.State == registry.Gone {
-		pu.publishLeft(now, se.ID, pu.catalog.Announce(now, se))
+		pu.publishLeft(now, se.ID, from, pu.catalog.Announce(now, se))
 		return pu.departures.last
 	}
 	if pu.catalog.Implausible(se) {
-		pu.ll.info(now, "announcement-ignored", append(serverFields(se), zap.String("Detail", "implausible service or start time"))...)
+		pu.ll.info(now, "announcement-ignored", append(serverFields(se), zap.String("From", from), zap.String("Detail", "implausible service or start time"))...)
 		return 0
 	}
 	if pu.catalog.Announce(now, se) {
-		pu.ll.info(now, "backend-server-announced", serverFields(se)...)
+		pu.ll.info(now, "backend-server-announced", append(serverFields(se), zap.String("From", from))...)
 		pu.queueChange(now, registry.Change{Server: se})
 	}
 	if se.State == registry.Ready {
@@ -45,13 +45,13 @@
 	return pu.departures.last
 }
 
-// Ignore logs an announcement that didn't come from the backend server with this id. It
-// changes nothing.
-func (pu *Publisher) Ignore(id, detail string) {
+// Ignore logs an announcement that didn't come from the backend server with this id, and
+// the address that it came from. It changes nothing.
+func (pu *Publisher) Ignore(id, from, detail string) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
-	pu.ll.info(now, "announcement-ignored", zap.String("ID", id), zap.String("Detail", detail))
+	pu.ll.info(now, "announcement-ignored", zap.String("ID", id), zap.String("From", from), zap.String("Detail", detail))
 }
 
 // Servers returns the backend servers that announce themselves here, and a version that
@@ -78,23 +78,24 @@
 	pu.lg.Info("backend-servers-restored", zap.Int("Servers", len(ses)))
 }
 
-// Leave records that a backend server has stopped for good, and returns the number of its
-// departure for AwaitStored.
-func (pu *Publisher) Leave(id string) (departure uint64) {
+// Leave records that a backend server has stopped for good, as a call from the given address
+// said, and returns the number of its departure for AwaitStored.
+func (pu *Publisher) Leave(id, from string) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
-	pu.publishLeft(now, id, pu.catalog.Leave(now, id))
+	pu.publishLeft(now, id, from, pu.catalog.Leave(now, id))
 	return pu.departures.last
 }
 
-// publishLeft publishes that a backend server has left, if that is a change.
-func (pu *Publisher) publishLeft(now time.Time, id string, changed bool) {
+// publishLeft publishes that a backend server has left, if that is a change. from is empty if
+// another instance or the own disk said it.
+func (pu *Publisher) publishLeft(now time.Time, id, from string, changed bool) {
 	if !changed {
 		return
 	}
 	se, _ := pu.catalog.Left(id)
-	pu.ll.info(now, "backend-server-left", zap.String("ID", id), zap.Int64("Born", se.Born))
+	pu.ll.info(now, "backend-server-left", zap.String("ID", id), zap.Int64("Born", se.Born), zap.String("From", from))
 	pu.queueChange(now, registry.Change{Server: registry.Server{ID: id, State: registry.Gone, Born: se.Born}})
 }
 
--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -26,7 +26,7 @@
 	}
 	pu := NewPublisher(PublisherConfig{Name: "control-1", SilenceTimeout: time.Hour}, ts, zap.NewNop())
 	for ii := range servers {
-		pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready))
+		pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready), "")
 	}
 	var first *link.Conn
 	for ii := range entries {
@@ -69,7 +69,7 @@
 		sequence++
 		se := server("a001", sequence, registry.Ready)
 		se.WarmMillis = int64(sequence % 2)
-		pu.Announce(se)
+		pu.Announce(se, "")
 		pu.flush()
 	}
 }
@@ -81,7 +81,7 @@
 	sequence := uint64(1)
 	for b.Loop() {
 		sequence++
-		pu.Announce(server("a001", sequence, registry.Ready))
+		pu.Announce(server("a001", sequence, registry.Ready), "")
 	}
 }
 
--- a/feed/departures.go
+++ b/feed/departures.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		if se.State == registry.Gone {
-			pu.publishLeft(now, se.ID, true)
+			pu.publishLeft(now, se.ID, "", true)
 			continue
 		}
 		pu.ll.info(now, "backend-server-draining", serverFields(se)...)
--- a/feed/departures_test.go
+++ b/feed/departures_test.go
@@ -82,7 +82,7 @@
 func (sc *storingControl) leave(id string) error {
 	ctx, cancel := context.WithTimeout(sc.cl.ctx, testAckTimeout)
 	defer cancel()
-	return sc.pu.AwaitStored(ctx, sc.pu.Leave(id))
+	return sc.pu.AwaitStored(ctx, sc.pu.Leave(id, ""))
 }
 
 // Guards against a departure that is acknowledged before another control instance has
@@ -111,7 +111,7 @@
 			runInBubble(t, func(c *qt.C, cl *cluster) {
 				scs := cl.storingGroup()
 				for _, sc := range scs {
-					sc.pu.Announce(server("a1", 1, registry.Ready))
+					sc.pu.Announce(server("a1", 1, registry.Ready), "")
 				}
 				cl.advance(time.Second)
 				tc.trouble(scs)
@@ -137,15 +137,15 @@
 func TestDrainingIsStoredOnce(t *testing.T) {
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		scs := cl.storingGroup()
-		c.Assert(scs[0].pu.Announce(server("a1", 1, registry.Ready)), qt.Equals, uint64(0))
-		number := scs[0].pu.Announce(server("a1", 2, registry.Draining))
+		c.Assert(scs[0].pu.Announce(server("a1", 1, registry.Ready), ""), qt.Equals, uint64(0))
+		number := scs[0].pu.Announce(server("a1", 2, registry.Draining), "")
 		c.Assert(number > 0, qt.IsTrue)
 		c.Assert(scs[0].pu.AwaitStored(cl.ctx, number), qt.IsNil)
 		scs[1].end()
 		scs[2].end()
 		ctx, cancel := context.WithCancel(cl.ctx)
 		cancel()
-		c.Assert(scs[0].pu.AwaitStored(ctx, scs[0].pu.Announce(server("a1", 3, registry.Draining))), qt.IsNil)
+		c.Assert(scs[0].pu.AwaitStored(ctx, scs[0].pu.Announce(server("a1", 3, registry.Draining), "")), qt.IsNil)
 	})
 }
 
@@ -183,7 +183,7 @@
 		scs[1].end()
 		cl.advance(time.Second)
 		scs[0].diskFails.Store(false)
-		scs[0].pu.Leave("a2") // The next write has both departures.
+		scs[0].pu.Leave("a2", "") // The next write has both departures.
 		cl.advance(time.Second)
 		c.Assert(scs[0].leave("a1"), qt.IsNotNil)
 		scs[1].start()
@@ -220,11 +220,11 @@
 		left, next := server("a1", 1, registry.Ready), server("a2", 1, registry.Ready)
 		next.Address = left.Address
 		for _, sc := range scs {
-			sc.pu.Announce(left)
+			sc.pu.Announce(left, "")
 		}
 		scs[0].end()
 		c.Assert(scs[1].leave(left.ID), qt.IsNil)
-		scs[2].pu.Announce(next)
+		scs[2].pu.Announce(next, "")
 		cl.advance(time.Second)
 		scs[0].start()
 		scs[0].pu.Restore([]registry.Server{left}, testSilenceTimeout)
--- a/feed/invite_test.go
+++ b/feed/invite_test.go
@@ -148,7 +148,7 @@
 func TestControlSubscriberLearnsServers(t *testing.T) {
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
-		cos[0].pu.Announce(server("a1", 1, registry.Ready))
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
 		cos[0].pu.SetConfiguration(3, []byte("three"))
 		li := cl.controlSubscriber("two", cos[0].member.Address, cos[1].member.Address)
 		cl.advance(maxPropagation)
@@ -157,7 +157,7 @@
 		c.Assert(cos[0].pu.ReadyEntries(), qt.HasLen, 0)
 		c.Assert(cos[0].pu.LinkedEntries(), qt.HasLen, 0)
 		c.Assert(cl.dialsTo(cos[1].member.Address), qt.HasLen, 0, qt.Commentf("its own address"))
-		cos[0].pu.Leave("a1")
+		cos[0].pu.Leave("a1", "")
 		cl.advance(maxPropagation)
 		c.Assert(li.serverStates(), qt.HasLen, 0)
 	})
--- a/feed/publisher_test.go
+++ b/feed/publisher_test.go
@@ -19,11 +19,11 @@
 func TestSnapshotOnConnect(t *testing.T) {
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
-		cos[0].pu.Announce(server("a1", 1, registry.Ready))
-		cos[0].pu.Announce(server("a2", 1, registry.Draining))
-		cos[0].pu.Announce(server("a3", 1, registry.Ready))
-		cos[0].pu.Leave("a3")
-		cos[1].pu.Announce(server("b1", 1, registry.Ready))
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
+		cos[0].pu.Announce(server("a2", 1, registry.Draining), "")
+		cos[0].pu.Announce(server("a3", 1, registry.Ready), "")
+		cos[0].pu.Leave("a3", "")
+		cos[1].pu.Announce(server("b1", 1, registry.Ready), "")
 		cos[1].pu.SetConfiguration(7, []byte("seven"))
 		cl.advance(time.Second)
 		first := cl.entry("entry-1", "one:1")
@@ -50,51 +50,51 @@
 		change func(cos []*control)
 		want   []string
 	}{
-		{"new", func(cos []*control) { cos[1].pu.Announce(server("a9", 1, registry.Ready)) }, []string{"a1 Ready", "a2 Ready", "a9 Ready"}},
-		{"draining", func(cos []*control) { cos[0].pu.Announce(server("a1", 2, registry.Draining)) }, []string{"a1 Draining", "a2 Ready"}},
-		{"draining, announced elsewhere", func(cos []*control) { cos[2].pu.Announce(server("a1", 2, registry.Draining)) }, []string{"a1 Draining", "a2 Ready"}},
+		{"new", func(cos []*control) { cos[1].pu.Announce(server("a9", 1, registry.Ready), "") }, []string{"a1 Ready", "a2 Ready", "a9 Ready"}},
+		{"draining", func(cos []*control) { cos[0].pu.Announce(server("a1", 2, registry.Draining), "") }, []string{"a1 Draining", "a2 Ready"}},
+		{"draining, announced elsewhere", func(cos []*control) { cos[2].pu.Announce(server("a1", 2, registry.Draining), "") }, []string{"a1 Draining", "a2 Ready"}},
 		{"draining, then a late announcement", func(cos []*control) {
-			cos[0].pu.Announce(server("a1", 3, registry.Draining))
-			cos[0].pu.Announce(server("a1", 2, registry.Ready))
+			cos[0].pu.Announce(server("a1", 3, registry.Draining), "")
+			cos[0].pu.Announce(server("a1", 2, registry.Ready), "")
 		}, []string{"a1 Draining", "a2 Ready"}},
 		{"draining, then another announcement", func(cos []*control) {
-			cos[0].pu.Announce(server("a1", 3, registry.Draining))
+			cos[0].pu.Announce(server("a1", 3, registry.Draining), "")
 			warm := server("a1", 4, registry.Ready)
 			warm.WarmMillis = 100
-			cos[0].pu.Announce(warm)
+			cos[0].pu.Announce(warm, "")
 		}, []string{"a1 Draining", "a2 Ready"}},
-		{"gone", func(cos []*control) { cos[0].pu.Leave("a1") }, []string{"a2 Ready"}},
-		{"gone, announced elsewhere", func(cos []*control) { cos[2].pu.Leave("a1") }, []string{"a2 Ready"}},
+		{"gone", func(cos []*control) { cos[0].pu.Leave("a1", "") }, []string{"a2 Ready"}},
+		{"gone, announced elsewhere", func(cos []*control) { cos[2].pu.Leave("a1", "") }, []string{"a2 Ready"}},
 		{"gone, then a late announcement elsewhere", func(cos []*control) {
-			cos[0].pu.Leave("a1")
-			cos[2].pu.Announce(server("a1", 1, registry.Ready))
+			cos[0].pu.Leave("a1", "")
+			cos[2].pu.Announce(server("a1", 1, registry.Ready), "")
 		}, []string{"a2 Ready"}},
 		{"another incarnation at the address", func(cos []*control) {
 			// The ids are not in the order of the incarnations.
 			for _, id := range []string{"a9", "a0"} {
 				se := server(id, 1, registry.Ready)
 				se.Address = "a1:8080"
-				cos[0].pu.Announce(se)
+				cos[0].pu.Announce(se, "")
 			}
 		}, []string{"a0 Ready", "a2 Ready"}},
 		{"many at once", func(cos []*control) {
 			for ii := range 300 {
-				cos[ii%3].pu.Announce(server(fmt.Sprintf("b%d", ii), 1, registry.Ready))
-				cos[ii%3].pu.Leave(fmt.Sprintf("b%d", ii))
+				cos[ii%3].pu.Announce(server(fmt.Sprintf("b%d", ii), 1, registry.Ready), "")
+				cos[ii%3].pu.Leave(fmt.Sprintf("b%d", ii), "")
 			}
-			cos[0].pu.Leave("a1")
+			cos[0].pu.Leave("a1", "")
 		}, []string{"a2 Ready"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runInBubble(t, func(c *qt.C, cl *cluster) {
 				cos := cl.group("one", "two", "three")
 				ens := cl.entries(8, cos[0])
-				cos[0].pu.Announce(server("a1", 1, registry.Ready))
-				cos[1].pu.Announce(server("a2", 1, registry.Ready))
+				cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
+				cos[1].pu.Announce(server("a2", 1, registry.Ready), "")
 				cl.advance(time.Second)
 				// Just after an update, the next one is furthest away.
-				cos[0].pu.Announce(server("c1", 1, registry.Ready))
-				cos[0].pu.Leave("c1")
+				cos[0].pu.Announce(server("c1", 1, registry.Ready), "")
+				cos[0].pu.Leave("c1", "")
 				cl.advance(batchDelay)
 				tc.change(cos)
 				cl.advance(maxPropagation)
@@ -115,7 +115,7 @@
 		ens := cl.entries(4, cos[0])
 		repeat := func(sequence uint64) {
 			for ii := range 30 {
-				cos[ii%3].pu.Announce(server(fmt.Sprintf("a%02d", ii), sequence, registry.Ready))
+				cos[ii%3].pu.Announce(server(fmt.Sprintf("a%02d", ii), sequence, registry.Ready), "")
 			}
 			cos[0].pu.SetMembers(members(cos[2], cos[0], cos[1]))
 			cos[0].pu.SetConfiguration(5, []byte("five"))
@@ -148,7 +148,7 @@
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
 		ens := cl.entries(3, cos[0])
-		cos[0].pu.Announce(server("a1", 1, registry.Ready))
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
 		cos[0].pu.SetConfiguration(5, []byte("five"))
 		cos[1].pu.SetConfiguration(5, []byte("five"))
 		cl.advance(time.Second)
@@ -172,7 +172,7 @@
 		ens := cl.entries(2, cos[0])
 		before := cl.numMessages(ens[0].name)
 		for ii := range 500 {
-			cos[ii%3].pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready))
+			cos[ii%3].pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready), "")
 			cl.advance(2 * time.Millisecond)
 		}
 		cl.advance(maxPropagation)
@@ -195,18 +195,18 @@
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
 		ens := cl.entries(2, cos[0])
-		cos[0].pu.Announce(server("a1", 1, registry.Ready)) // crashes
-		cos[0].pu.Announce(server("a2", 1, registry.Ready)) // continues at another control instance
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "") // crashes
+		cos[0].pu.Announce(server("a2", 1, registry.Ready), "") // continues at another control instance
 		for sequence := range uint64(6) {
 			cl.advance(time.Second)
-			cos[1].pu.Announce(server("a2", sequence+2, registry.Ready))
+			cos[1].pu.Announce(server("a2", sequence+2, registry.Ready), "")
 		}
 		for _, en := range ens {
 			c.Check(en.serverStates(), qt.DeepEquals, []string{"a1 Ready", "a2 Ready"}, qt.Commentf(en.name))
 		}
 		for sequence := range uint64(3) {
 			cl.advance(time.Second)
-			cos[1].pu.Announce(server("a2", sequence+8, registry.Ready))
+			cos[1].pu.Announce(server("a2", sequence+8, registry.Ready), "")
 		}
 		for _, en := range ens {
 			c.Check(en.serverStates(), qt.DeepEquals, []string{"a2 Ready"}, qt.Commentf(en.name))
@@ -223,7 +223,7 @@
 			runInBubble(t, func(c *qt.C, cl *cluster) {
 				cos := cl.group("one", "two")
 				ens := cl.entries(5, cos[0])
-				cos[0].pu.Announce(server("a1", 1, registry.Ready))
+				cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
 				cl.advance(time.Second)
 				slow := cl.linksBetween(ens[0].name, "")
 				for _, li := range slow {
@@ -233,7 +233,7 @@
 					cos[0].pu.SetConfiguration(ii+1, make([]byte, bytes))
 					cos[1].pu.SetConfiguration(ii+1, make([]byte, bytes))
 					start := time.Now()
-					cos[0].pu.Announce(server(fmt.Sprintf("b%d", ii), 1, registry.Draining))
+					cos[0].pu.Announce(server(fmt.Sprintf("b%d", ii), 1, registry.Draining), "")
 					c.Check(time.Since(start), qt.Equals, time.Duration(0))
 					cl.advance(maxPropagation)
 					for _, en := range ens[1:] {
--- a/feed/subscriber_test.go
+++ b/feed/subscriber_test.go
@@ -213,7 +213,7 @@
 		en := cl.entry("entry-1", "one:1")
 		cos[0].pu.SetConfiguration(4, []byte("four"))
 		for ii, co := range cos {
-			co.pu.Announce(server(fmt.Sprintf("a%d", ii), 1, registry.Ready))
+			co.pu.Announce(server(fmt.Sprintf("a%d", ii), 1, registry.Ready), "")
 		}
 		cl.advance(time.Second)
 		for _, co := range cos {
@@ -231,7 +231,7 @@
 		}
 		cl.advance(2 * time.Second)
 		c.Check(en.su.NumConnected(), qt.Equals, 3)
-		cos[1].pu.Announce(server("a1", 2, registry.Draining))
+		cos[1].pu.Announce(server("a1", 2, registry.Draining), "")
 		cl.advance(testRetention)
 		c.Check(en.serverStates(), qt.DeepEquals, []string{"a1 Draining"})
 	})
@@ -245,20 +245,20 @@
 		cos := cl.group("one", "two", "three")
 		ens := cl.entries(2, cos[0])
 		for ii := range 9 {
-			cos[ii%3].pu.Announce(server(fmt.Sprintf("a%d", ii), 1, registry.Ready))
+			cos[ii%3].pu.Announce(server(fmt.Sprintf("a%d", ii), 1, registry.Ready), "")
 		}
 		cl.advance(time.Second)
 		for _, li := range cl.linksBetween(ens[0].name, "") {
 			li.blackholed.Store(true)
 		}
-		cos[0].pu.Announce(server("a0", 2, registry.Draining))
-		cos[1].pu.Leave("a1")
-		cos[2].pu.Announce(server("b0", 1, registry.Ready))
+		cos[0].pu.Announce(server("a0", 2, registry.Draining), "")
+		cos[1].pu.Leave("a1", "")
+		cos[2].pu.Announce(server("b0", 1, registry.Ready), "")
 		cos[1].pu.SetConfiguration(3, []byte("three"))
 		for sequence := range uint64(4) {
 			cl.advance(time.Second)
 			for ii := 2; ii < 9; ii++ {
-				cos[ii%3].pu.Announce(server(fmt.Sprintf("a%d", ii), sequence+2, registry.Ready))
+				cos[ii%3].pu.Announce(server(fmt.Sprintf("a%d", ii), sequence+2, registry.Ready), "")
 			}
 		}
 		for _, en := range ens {
@@ -285,15 +285,15 @@
 			runInBubble(t, func(c *qt.C, cl *cluster) {
 				cos := cl.group("one", "two", "three")
 				ens := cl.entries(2, cos[0])
-				cos[2].pu.Announce(server("a1", 1, registry.Ready)) // still running
-				cos[2].pu.Announce(server("a2", 1, registry.Ready)) // crashes together with it
+				cos[2].pu.Announce(server("a1", 1, registry.Ready), "") // still running
+				cos[2].pu.Announce(server("a2", 1, registry.Ready), "") // crashes together with it
 				cl.advance(time.Second)
 				tc.do(cos[2])
 				var seen [][]string
 				for sequence := range uint64(8) {
 					cl.advance(time.Second)
 					if sequence > 0 {
-						cos[1].pu.Announce(server("a1", sequence+1, registry.Ready))
+						cos[1].pu.Announce(server("a1", sequence+1, registry.Ready), "")
 					}
 					seen = append(seen, ens[1].serverStates())
 				}
@@ -311,12 +311,12 @@
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
 		ens := cl.entries(3, cos[1])
-		cos[0].pu.Announce(server("a1", 1, registry.Ready))
-		cos[0].pu.Announce(server("a2", 1, registry.Ready))
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
+		cos[0].pu.Announce(server("a2", 1, registry.Ready), "")
 		cl.advance(time.Second)
 		_ = cl.linksBetween(ens[0].name, "one:1")[0].entryEnd.Close()
-		cos[0].pu.Announce(server("a1", 2, registry.Draining))
-		cos[0].pu.Leave("a2")
+		cos[0].pu.Announce(server("a1", 2, registry.Draining), "")
+		cos[0].pu.Leave("a2", "")
 		cl.advance(2*minRedialBackoff + maxPropagation)
 		for _, en := range ens {
 			c.Check(en.serverStates(), qt.DeepEquals, []string{"a1 Draining"}, qt.Commentf(en.name))
@@ -398,9 +398,9 @@
 		pass := func(span time.Duration, last *control) {
 			for range span / time.Second {
 				sequence++
-				cos[0].pu.Announce(server("a1", sequence, registry.Ready))
+				cos[0].pu.Announce(server("a1", sequence, registry.Ready), "")
 				if last.pu != nil {
-					last.pu.Announce(server("a2", sequence, registry.Ready))
+					last.pu.Announce(server("a2", sequence, registry.Ready), "")
 				}
 				cl.advance(time.Second)
 			}
@@ -487,15 +487,15 @@
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		cos := cl.group("one", "two")
 		en := cl.entry("entry-1", "one:1")
-		cos[0].pu.Announce(server("a1", 1, registry.Ready))
-		cos[0].pu.Announce(server("a2", 1, registry.Ready))
+		cos[0].pu.Announce(server("a1", 1, registry.Ready), "")
+		cos[0].pu.Announce(server("a2", 1, registry.Ready), "")
 		cl.advance(time.Second)
 		for range 100 {
 			en.su.MarkGone("a1")
 		}
 		cl.advance(maxPropagation)
 		c.Check(en.serverStates(), qt.DeepEquals, []string{"a2 Ready"})
-		cos[1].pu.Announce(server("a1", 2, registry.Ready))
+		cos[1].pu.Announce(server("a1", 2, registry.Ready), "")
 		_ = cl.linksBetween("entry-1", "one:1")[0].entryEnd.Close()
 		cl.advance(time.Second)
 		c.Check(en.su.NumConnected(), qt.Equals, 2)
@@ -568,10 +568,10 @@
 		co := cl.control("one")
 		en := cl.entry("entry-1", "one:1")
 		for ii := range 1000 {
-			co.pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready))
+			co.pu.Announce(server(fmt.Sprintf("a%03d", ii), 1, registry.Ready), "")
 		}
 		cl.advance(testSilenceTimeout / 2)
-		co.pu.Leave("a001")
+		co.pu.Leave("a001", "")
 		cl.advance(testSilenceTimeout / 4)
 		c.Check(len(en.serverStates()), qt.Equals, 999)
 		c.Check(cl.logs.FilterMessage("backend-server-announced").Len() <= logBurst, qt.IsTrue)
@@ -591,8 +591,8 @@
 func TestSharedSnapshotMissesNoChange(t *testing.T) {
 	runInBubble(t, func(c *qt.C, cl *cluster) {
 		co := cl.group("one")[0]
-		co.pu.Announce(server("a1", 1, registry.Ready))
-		co.pu.Announce(server("a2", 1, registry.Ready))
+		co.pu.Announce(server("a1", 1, registry.Ready), "")
+		co.pu.Announce(server("a2", 1, registry.Ready), "")
 		cl.advance(time.Second)
 		var ens []*entry
 		for ix := range 12 {
@@ -600,9 +600,9 @@
 			cl.advance(time.Millisecond)
 			switch ix {
 			case 3:
-				co.pu.Announce(server("a3", 1, registry.Ready))
+				co.pu.Announce(server("a3", 1, registry.Ready), "")
 			case 6:
-				co.pu.Leave("a1")
+				co.pu.Leave("a1", "")
 			case 9:
 				ens[0].stop()
 			}
--- a/feed/tcp_test.go
+++ b/feed/tcp_test.go
@@ -106,7 +106,7 @@
 	wg.Go(func() { _ = su.Serve(ctx) })
 
 	for ii, pu := range pus {
-		pu.Announce(server(fmt.Sprint("a", ii), 1, registry.Ready))
+		pu.Announce(server(fmt.Sprint("a", ii), 1, registry.Ready), "")
 	}
 	waitFor(c, ey.servers, func(ses map[string][]registry.Server) bool { return len(ses["svc-a"]) == 3 })
 	for _, pu := range pus {
@@ -117,7 +117,7 @@
 		co.(*link.Conn).Close()
 		return true
 	})
-	pus[1].Announce(server("a1", 2, registry.Draining))
+	pus[1].Announce(server("a1", 2, registry.Draining), "")
 	waitFor(c, ey.servers, func(ses map[string][]registry.Server) bool {
 		return len(ses["svc-a"]) == 3 && ses["svc-a"][1].State == registry.Draining
 	})
--- a/tier/control.go
+++ b/tier/control.go
@@ -230,13 +230,13 @@
 func (co *control) Evacuated() evacuation.Set { return co.nd.Evacuations() }
 
 // Announce processes a backend server's announcement.
-func (co *control) Announce(ctx context.Context, se registry.Server) error {
-	return co.awaitStored(ctx, se.ID, co.pu.Announce(se))
+func (co *control) Announce(ctx context.Context, se registry.Server, from string) error {
+	return co.awaitStored(ctx, se.ID, co.pu.Announce(se, from))
 }
 
 // Leave removes a backend server that says that it leaves.
-func (co *control) Leave(ctx context.Context, id string) error {
-	return co.awaitStored(ctx, id, co.pu.Leave(id))
+func (co *control) Leave(ctx context.Context, id, from string) error {
+	return co.awaitStored(ctx, id, co.pu.Leave(id, from))
 }
 
 // awaitStored waits until the departure with a number is stored on enough control instances;
@@ -255,7 +255,7 @@
 }
 
 // Ignore records that an announcement was ignored and why.
-func (co *control) Ignore(id, detail string) { co.pu.Ignore(id, detail) }
+func (co *control) Ignore(id, from, detail string) { co.pu.Ignore(id, from, detail) }
 
 // BodyLimit returns the maximum size of a request body in bytes.
 func (co *control) BodyLimit() int64 { return maxAPIBodyBytes }
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -54,13 +54,14 @@
 	// Announce processes an announcement of a backend server. A server that leaves is
 	// announced with the state Gone, and Born tells which start of it leaves. If it is
 	// Draining or Gone, Announce returns nil once enough control instances have stored that,
-	// and an error if they can't be reached in time; it is known here all the same.
-	Announce(ctx context.Context, se registry.Server) error
+	// and an error if they can't be reached in time; it is known here all the same. from is
+	// the address that the call came from, for the log.
+	Announce(ctx context.Context, se registry.Server, from string) error
 	// Leave removes a backend server that says that it leaves. It returns as Announce does.
-	Leave(ctx context.Context, id string) error
-	// Ignore records that an announcement was ignored because it came under an id that no
-	// backend server uses. detail gives the reason.
-	Ignore(id, detail string)
+	Leave(ctx context.Context, id, from string) error
+	// Ignore records that an announcement from an address was ignored because no backend
+	// server can have sent it. detail gives the reason.
+	Ignore(id, from, detail string)
 	// BodyLimit returns the maximum size of a request body in bytes.
 	BodyLimit() int64
 }
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -175,10 +175,10 @@
 func (ia *instrumentedAPI) Evacuated() evacuation.Set { return ia.next.Evacuated() }
 
 // Announce counts and forwards the call, and times it if the server departs.
-func (ia *instrumentedAPI) Announce(ctx context.Context, se registry.Server) error {
+func (ia *instrumentedAPI) Announce(ctx context.Context, se registry.Server, from string) error {
 	ia.announcements.Inc()
 	start := ia.ts.Now()
-	err := ia.next.Announce(ctx, se)
+	err := ia.next.Announce(ctx, se, from)
 	if se.State != registry.Ready {
 		ia.depart.observe(ia.ts.Now().Sub(start), err)
 	}
@@ -186,18 +186,18 @@
 }
 
 // Leave counts, measures and forwards the call.
-func (ia *instrumentedAPI) Leave(ctx context.Context, id string) error {
+func (ia *instrumentedAPI) Leave(ctx context.Context, id, from string) error {
 	ia.leaves.Inc()
 	start := ia.ts.Now()
-	err := ia.next.Leave(ctx, id)
+	err := ia.next.Leave(ctx, id, from)
 	ia.depart.observe(ia.ts.Now().Sub(start), err)
 	return err
 }
 
 // Ignore counts and forwards the call.
-func (ia *instrumentedAPI) Ignore(id, detail string) {
+func (ia *instrumentedAPI) Ignore(id, from, detail string) {
 	ia.ignored.Inc()
-	ia.next.Ignore(id, detail)
+	ia.next.Ignore(id, from, detail)
 }
 
 // BodyLimit forwards the call.
--- a/tier/meters_test.go
+++ b/tier/meters_test.go
@@ -106,12 +106,12 @@
 	time.Sleep(200 * time.Millisecond)
 	return 7, []byte("x"), fa.err
 }
-func (fa fakeAPI) Evacuate(context.Context, string, bool, string) error { return fa.err }
-func (fakeAPI) Evacuated() evacuation.Set                               { return evacuation.Set{Revision: 3} }
-func (fa fakeAPI) Announce(context.Context, registry.Server) error      { return fa.err }
-func (fa fakeAPI) Leave(context.Context, string) error                  { return fa.err }
-func (fakeAPI) Ignore(string, string)                                   {}
-func (fakeAPI) BodyLimit() int64                                        { return 9 }
+func (fa fakeAPI) Evacuate(context.Context, string, bool, string) error    { return fa.err }
+func (fakeAPI) Evacuated() evacuation.Set                                  { return evacuation.Set{Revision: 3} }
+func (fa fakeAPI) Announce(context.Context, registry.Server, string) error { return fa.err }
+func (fa fakeAPI) Leave(context.Context, string, string) error             { return fa.err }
+func (fakeAPI) Ignore(string, string, string)                              {}
+func (fakeAPI) BodyLimit() int64                                           { return 9 }
 func (fa fakeAPI) Addresses(string, string, string) ([]string, time.Duration) {
 	return fa.addrs, time.Second
 }
@@ -125,9 +125,9 @@
 		qt.Assert(t, version, qt.Equals, uint64(7))
 		qt.Assert(t, string(data), qt.Equals, "x")
 		qt.Assert(t, ia.BodyLimit(), qt.Equals, int64(9))
-		qt.Assert(t, ia.Announce(t.Context(), registry.Server{}), qt.IsNil)
-		qt.Assert(t, ia.Leave(t.Context(), "i-1"), qt.IsNil)
-		ia.Ignore("i-1", "no state")
+		qt.Assert(t, ia.Announce(t.Context(), registry.Server{}, ""), qt.IsNil)
+		qt.Assert(t, ia.Leave(t.Context(), "i-1", ""), qt.IsNil)
+		ia.Ignore("i-1", "", "no state")
 		addrs, keep := ia.Addresses("", "", "")
 		qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.1:80"})
 		qt.Assert(t, keep, qt.Equals, time.Second)
--- a/tier/statestore_test.go
+++ b/tier/statestore_test.go
@@ -44,10 +44,10 @@
 		qt.Assert(t, knownIDs(ss), qt.HasLen, 0)
 		go func() { _ = ss.serve(t.Context(), 7740) }()
 		for _, id := range []string{"a", "b", "c"} {
-			ss.pu.Announce(registry.Server{ID: id, Service: "s", Address: id, Sequence: 1})
+			ss.pu.Announce(registry.Server{ID: id, Service: "s", Address: id, Sequence: 1}, "")
 		}
 		time.Sleep(2 * saveInterval)
-		ss.pu.Leave("b")
+		ss.pu.Leave("b", "")
 		time.Sleep(2 * saveInterval)
 		synctest.Wait()
 
@@ -129,8 +129,8 @@
 		dir := filepath.Join(t.TempDir(), "data")
 		ss := newTestStore(dir)
 		go func() { _ = ss.serve(t.Context(), 7740) }()
-		ss.pu.Announce(registry.Server{ID: "a", Service: "s", Address: "a", Sequence: 1, Born: 10})
-		ss.pu.Announce(registry.Server{ID: "b", Service: "s", Address: "b", Sequence: 1, Born: 10})
+		ss.pu.Announce(registry.Server{ID: "a", Service: "s", Address: "a", Sequence: 1, Born: 10}, "")
+		ss.pu.Announce(registry.Server{ID: "b", Service: "s", Address: "b", Sequence: 1, Born: 10}, "")
 		ss.ps.ServersChanged(map[string][]registry.Server{"s": {
 			{ID: "b", Service: "s", Address: "b", Sequence: 1, Born: 20},
 			{ID: "c", Service: "s", Address: "c", Sequence: 1},
@@ -155,11 +155,11 @@
 		go func() { _ = ss.serve(t.Context(), 7740) }()
 		go func() { _ = ss.serveDepartures(t.Context()) }()
 		for _, id := range []string{"a", "b", "c"} {
-			ss.pu.Announce(registry.Server{ID: id, Service: "s", Address: id, Sequence: 1})
+			ss.pu.Announce(registry.Server{ID: id, Service: "s", Address: id, Sequence: 1}, "")
 		}
 		time.Sleep(2*saveInterval + saveInterval/2)
-		ss.pu.Leave("b")
-		ss.pu.Announce(registry.Server{ID: "c", Service: "s", Address: "c", Sequence: 2, State: registry.Draining})
+		ss.pu.Leave("b", "")
+		ss.pu.Announce(registry.Server{ID: "c", Service: "s", Address: "c", Sequence: 2, State: registry.Draining}, "")
 		synctest.Wait() // no time passes
 
 		ss = newTestStore(dir)
