tier: a failing test of words that end the links

Callers got answers under an old configuration: another writer's announcement under an ID that isn't UTF-8 was stored, and each message with it ended its link.

--- a/tier/departure_test.go
+++ b/tier/departure_test.go
@@ -45,14 +45,20 @@
 	return status
 }
 
-// checkNotAsked fails the test if an entry instance sends requests to a backend server.
-func (cl *cluster) checkNotAsked(en *instance, be *backend) {
+// awaitControlLinks waits until an entry instance has a link to each control instance.
+func (cl *cluster) awaitControlLinks(en *instance) {
 	cl.t.Helper()
-	cl.await("the entry instance serves", func() bool { return cl.get(en, "/one/a").status == http.StatusOK })
 	cl.await("the entry instance has a link to each control instance", func() bool {
 		_, body := cl.call(http.MethodGet, en.se.Metrics, tier.MetricsPath, nil)
 		return strings.Contains(string(body), fmt.Sprintf("balsamwinch_control_links %d\n", len(cl.controls)))
 	})
+}
+
+// checkNotAsked fails the test if an entry instance sends requests to a backend server.
+func (cl *cluster) checkNotAsked(en *instance, be *backend) {
+	cl.t.Helper()
+	cl.await("the entry instance serves", func() bool { return cl.get(en, "/one/a").status == http.StatusOK })
+	cl.awaitControlLinks(en)
 	before := be.runs.Load()
 	for range 30 {
 		cl.checkOne(cl.get(en, "/one/a"), "s1")
--- /dev/null
+++ b/tier/foreign_test.go
@@ -0,0 +1,105 @@
+package tier_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// foreignCall is a call of a writer that is no backend server.
+type foreignCall struct{ method, id, body string }
+
+const foreignBody = `{"service":"s1","address":"127.0.0.1:9","zone":"north","version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"seq":1}`
+
+// foreignCalls are calls whose words can't be stored, sent or written as they are.
+func foreignCalls() []foreignCall {
+	long := strings.Repeat("x", 12<<10)
+	return []foreignCall{
+		{http.MethodPut, "i-%ff", foreignBody},
+		{http.MethodPut, "i-%c3%28", strings.Replace(foreignBody, "ready", "draining", 1)},
+		{http.MethodPut, "i-%0d%0aX:%20y", foreignBody},
+		{http.MethodPut, "i-%00", foreignBody},
+		{http.MethodPut, "i-" + long, foreignBody},
+		{http.MethodPut, "i-version", strings.Replace(foreignBody, `"v1"`, `"`+strings.Repeat(long, 20)+`"`, 1)},
+		{http.MethodPut, "i-zone", strings.Replace(foreignBody, `"north"`, `"a\r\nb"`, 1)},
+		{http.MethodPut, "i-slots", strings.Replace(foreignBody, `:4,`, `:9223372036854775807,`, 1)},
+		{http.MethodPut, "i-warm-up", strings.Replace(foreignBody, `:0,`, `:9223372036854775807,`, 1)},
+		{http.MethodDelete, "i-%fe", ""},
+		{http.MethodDelete, "i-" + long, ""},
+	}
+}
+
+// writeForeign sends the calls to all control instances until the context ends.
+func (cl *cluster) writeForeign(ctx context.Context) {
+	tk := time.NewTicker(announceInterval / 2)
+	defer tk.Stop()
+	for {
+		for _, fc := range foreignCalls() {
+			for _, co := range cl.controls {
+				cl.call(fc.method, co.se.Listen.Control, "/instances/"+fc.id, []byte(fc.body))
+			}
+		}
+		select {
+		case <-tk.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// startForeignWriter starts writeForeign and returns once each call was sent.
+func (cl *cluster) startForeignWriter() {
+	ctx, cancel := context.WithCancel(cl.ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { cl.writeForeign(ctx) })
+	cl.t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	for _, fc := range foreignCalls() {
+		for _, co := range cl.controls {
+			cl.call(fc.method, co.se.Listen.Control, "/instances/"+fc.id, []byte(fc.body))
+		}
+	}
+}
+
+// Guards against a word of one writer that ends the links of all: a configuration must come
+// into force at each entry instance, also after a restart of the control instances.
+func TestForeignWordsKeepLinks(t *testing.T) {
+	lines, logs := observer.New(zapcore.InfoLevel)
+	cl := newCluster(t, 3, 2, func(in *instance) { in.lg = zap.New(lines) })
+	for _, service := range []string{"s1", "s2", "p1", "p2", "p3"} {
+		cl.startServers(service, 2)
+	}
+	cl.configure(config(1, "s1", "/first/"), cl.controls...)
+	for _, en := range cl.entries {
+		cl.awaitInForce(en, "s1", "/first/a", "")
+		cl.awaitControlLinks(en)
+	}
+	logs.TakeAll()
+	cl.startForeignWriter()
+	cl.configure(config(2, "s2", "/second/"), cl.controls...)
+	for _, en := range cl.entries {
+		cl.awaitInForce(en, "s2", "/second/a", "/first/a")
+	}
+	qt.Assert(t, logs.FilterMessage("control-link-down").All(), qt.HasLen, 0)
+	for _, co := range cl.controls {
+		qt.Assert(t, co.shutdown(), qt.IsNil)
+		co.se.FirstStart = false
+		cl.start(co)
+	}
+	cl.configure(config(3, "s1", "/third/"), cl.controls...)
+	for _, en := range cl.entries {
+		cl.awaitInForce(en, "s1", "/third/a", "/second/a")
+		cl.awaitControlLinks(en)
+	}
+	qt.Assert(t, logs.FilterMessage("note-not-read").All(), qt.HasLen, 0)
+}
