registry: accept no announcement that can't be sent, stored or written

Cause: the ID is taken from the path as it is, package cbor encodes such a string and refuses to decode it, so the first message and the file with it were unreadable as a whole: the link ended, again on each new one, and the saved servers of all were lost at the next start. Change: package identifier says which texts are names, registry.Server.Check which records can be used. Announce and Leave reject others with 400 and a line; catalogs and unions leave them out on any way; of a message or file each record counts by itself. Package codec is the only decoder and reads any string, so that no text can make the rest unreadable. Bodies of announcements are bounded by 16 KiB, numbers too. Lines on ignored calls have a rate of their own, so that they displace no others.

--- a/control/codec.go
+++ b/control/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/result"
 )
 
@@ -52,15 +53,12 @@
 // ignored an unknown field, its state would silently diverge from that of the other
 // voters. With an error it stops instead.
 func mustDecoding() cbor.DecMode {
-	dm, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		// A fault may quote a file that isn't UTF-8. If that failed to decode,
-		// no voter could start again.
-		UTF8: cbor.UTF8DecodeInvalid,
-	}.DecMode()
+	do := codec.Options()
+	do.DupMapKey = cbor.DupMapKeyEnforcedAPF
+	do.ExtraReturnErrors = cbor.ExtraDecErrorUnknownField
+	do.MaxArrayElements = maxElements
+	do.MaxMapPairs = maxElements
+	dm, err := do.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -121,7 +121,7 @@
 }
 
 func (ch *controlHandler) putConfiguration(wr http.ResponseWriter, rq *http.Request) {
-	data, ok := ch.readBody(wr, rq)
+	data, ok := ch.readBody(wr, rq, ch.co.BodyLimit())
 	if !ok {
 		return
 	}
@@ -164,7 +164,7 @@
 }
 
 func (ch *controlHandler) announce(wr http.ResponseWriter, rq *http.Request) {
-	data, ok := ch.readBody(wr, rq)
+	data, ok := ch.readBody(wr, rq, tier.MaxAnnouncementBytes)
 	if !ok {
 		return
 	}
@@ -194,18 +194,18 @@
 	acknowledge(wr, ch.co.Leave(rq.Context(), rq.PathValue("id"), rq.RemoteAddr))
 }
 
-// acknowledge acknowledges the call of a backend server, or asks it to call another control
-// instance.
+// acknowledge acknowledges the call of a backend server, rejects it, or asks the server to
+// call another control instance.
 func acknowledge(wr http.ResponseWriter, err error) {
 	if err != nil {
-		writeError(wr, http.StatusServiceUnavailable, err.Error())
+		writeError(wr, tier.AnnounceStatus(err), err.Error())
 		return
 	}
 	tier.WriteJSON(wr, http.StatusOK, struct{}{})
 }
 
-func (ch *controlHandler) readBody(wr http.ResponseWriter, rq *http.Request) ([]byte, bool) {
-	data, status, detail := gateway.ReadBody(wr, rq, ch.co.BodyLimit())
+func (ch *controlHandler) readBody(wr http.ResponseWriter, rq *http.Request, limit int64) ([]byte, bool) {
+	data, status, detail := gateway.ReadBody(wr, rq, limit)
 	if status != 0 {
 		writeError(wr, status, detail)
 	}
--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -32,7 +32,7 @@
 		return pu.departures.last
 	}
 	if pu.catalog.Implausible(se) {
-		pu.ll.info(now, "announcement-ignored", append(serverFields(se), zap.String("From", from), zap.String("Detail", "implausible service or start time"))...)
+		pu.ignored.info(now, "announcement-ignored", append(serverFields(se), zap.String("From", from), zap.String("Detail", "implausible service or start time"))...)
 		return 0
 	}
 	if pu.catalog.Announce(now, se) {
@@ -51,7 +51,7 @@
 	now := pu.ts.Now()
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
-	pu.ll.info(now, "announcement-ignored", zap.String("ID", id), zap.String("From", from), zap.String("Detail", detail))
+	pu.ignored.info(now, "announcement-ignored", zap.String("ID", id), zap.String("From", from), zap.String("Detail", detail))
 }
 
 // Servers returns the backend servers that announce themselves here, and a version that
@@ -70,6 +70,14 @@
 	return pu.serversVersion
 }
 
+// CheckRestored returns the records of backend servers in a saved file that can be used, and
+// writes a line for each other one. name is that of the file.
+func (pu *Publisher) CheckRestored(name string, ses []registry.Server) []registry.Server {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	return validServers(pu.ts.Now(), pu.ignored, ses, zap.String("File", name))
+}
+
 // Restore loads the servers that Servers returned before the process ended. Those that
 // don't announce themselves within keep are removed. It must be called before the first
 // subscriber connects.
--- a/feed/publisher.go
+++ b/feed/publisher.go
@@ -73,6 +73,7 @@
 
 	mu             sync.Mutex
 	ll             *limitedLogger
+	ignored        *limitedLogger // for what others than backend servers say, which may be any number of lines
 	catalog        *registry.Catalog
 	members        []Member
 	version        uint64
@@ -126,7 +127,7 @@
 // announcements at once; Serve removes silent backend servers.
 func NewPublisher(cf PublisherConfig, ts *timer.Service, lg *zap.Logger) *Publisher {
 	pu := &Publisher{
-		cf: cf, ts: ts, lg: lg, ll: newLimitedLogger(lg),
+		cf: cf, ts: ts, lg: lg, ll: newLimitedLogger(lg), ignored: newLimitedLogger(lg),
 		catalog:     registry.NewCatalog(cf.SilenceTimeout),
 		detector:    lockedDetector{de: outlier.New()},
 		qa:          cf.Quarantine,
--- a/feed/source.go
+++ b/feed/source.go
@@ -257,8 +257,9 @@
 	so.version = 0
 	su.applyEvacuations(so, sn.Evacuations)
 	su.versionAnnounced(so, sn.Version)
-	su.un.Replace(now, so.address, sn.Servers)
-	su.receiveDepartures(co, sn.Departures, sn.Servers)
+	servers := validServers(now, su.invalid, sn.Servers, zap.String("Control", so.name))
+	su.un.Replace(now, so.address, servers)
+	su.receiveDepartures(co, sn.Departures, servers)
 	su.receiveSuspects(so, sn.Suspects)
 }
 
@@ -284,8 +285,10 @@
 	su.applyEvacuations(so, up.Evacuations)
 	su.versionAnnounced(so, up.Version)
 	if len(up.Changes) > 0 {
-		su.un.Apply(su.ts.Now(), so.address, up.Changes)
-		su.receiveDepartures(co, up.Departures, changedServers(up.Changes))
+		now := su.ts.Now()
+		changes := validChanges(now, su.invalid, up.Changes, zap.String("Control", so.name))
+		su.un.Apply(now, so.address, changes)
+		su.receiveDepartures(co, up.Departures, changedServers(changes))
 	}
 	su.receiveSuspects(so, up.Suspects)
 }
--- a/feed/subscriber.go
+++ b/feed/subscriber.go
@@ -116,6 +116,7 @@
 
 	// The following fields belong to the goroutine of Serve.
 	ll                  *limitedLogger
+	invalid             *limitedLogger // for records of backend servers that can't be used
 	events              chan event
 	sources             map[string]*source
 	invited             map[string]time.Time // invitations of the last unlistedTTL
@@ -142,7 +143,7 @@
 // Serve.
 func NewSubscriber(cf SubscriberConfig, ts *timer.Service, lg *zap.Logger, ob Observer) *Subscriber {
 	return &Subscriber{
-		cf: cf, ts: ts, lg: lg, ob: ob, ll: newLimitedLogger(lg),
+		cf: cf, ts: ts, lg: lg, ob: ob, ll: newLimitedLogger(lg), invalid: newLimitedLogger(lg),
 		wake:       make(chan struct{}, 1),
 		state:      cf.Self.State,
 		conns:      make(map[*source]*link.Conn),
--- a/fleet/persist.go
+++ b/fleet/persist.go
@@ -4,9 +4,9 @@
 	"errors"
 	"io/fs"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/wal"
 )
@@ -63,7 +63,7 @@
 		return false
 	}
 	if err == nil {
-		err = cbor.Unmarshal(data, to)
+		err = codec.Unmarshal(data, to)
 	}
 	if err != nil {
 		th.nd.lg.Warn("note-not-read", zap.String("Name", name), zap.Error(err))
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/quorum"
 	"balsamwinch.example/result"
@@ -71,7 +72,7 @@
 
 func decodeCommand(data []byte) (command, error) {
 	var cm command
-	if err := cbor.Unmarshal(data, &cm); err != nil {
+	if err := codec.Unmarshal(data, &cm); err != nil {
 		return cm, &result.Error{Code: result.DamagedState, Op: "read command", Err: err}
 	}
 	if cm.numFields() != 1 {
@@ -85,7 +86,7 @@
 	if len(data) == 0 {
 		return st, nil
 	}
-	if err := cbor.Unmarshal(data, &st); err != nil {
+	if err := codec.Unmarshal(data, &st); err != nil {
 		return st, &result.Error{Code: result.DamagedState, Op: "read snapshot", Err: err}
 	}
 	return st, nil
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/result"
 )
 
@@ -57,7 +58,9 @@
 	if err != nil {
 		panic(err)
 	}
-	de, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	do := codec.Options()
+	do.DupMapKey = cbor.DupMapKeyEnforcedAPF
+	de, err := do.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/quorum/voters.go
+++ b/quorum/voters.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
+	"balsamwinch.example/codec"
 )
 
 // VoterSet holds the voters, which count towards majorities, and the learners, which don't
@@ -53,7 +53,7 @@
 
 // Encode returns the set as the data of an entry.
 func (vs VoterSet) Encode() []byte {
-	data, err := cbor.Marshal(vs)
+	data, err := codec.Marshal(vs)
 	if err != nil {
 		panic(err) // Lists of strings always have an encoding.
 	}
@@ -63,7 +63,7 @@
 // DecodeVoters reads the data of an EntryVoters.
 func DecodeVoters(data []byte) (VoterSet, error) {
 	var vs VoterSet
-	err := cbor.Unmarshal(data, &vs)
+	err := codec.Unmarshal(data, &vs)
 	return vs, err
 }
 
--- a/registry/catalog.go
+++ b/registry/catalog.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"balsamwinch.example/identifier"
 )
 
 const (
@@ -55,7 +57,7 @@
 
 // Announce records a server's announcement of itself and reports whether others must be
 // informed; a change of only the sequence or the remaining warm-up doesn't count. It
-// ignores a server without an id, an incarnation that has left, a sequence that isn't
+// ignores a server that Check rejects, an incarnation that has left, a sequence that isn't
 // higher than the one before, an Implausible announcement and, if the catalog is full,
 // new ids. A Draining incarnation stays so, whatever it announces later. Gone acts as
 // Leave of that incarnation and earlier ones.
@@ -67,10 +69,13 @@
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	at := ct.clock.advance(now)
+	if se.Check() != nil {
+		return false
+	}
 	if se.State == Gone {
 		return ct.leave(at, se.ID, se.Born)
 	}
-	if se.ID == "" || ct.hasLeft(se) || ct.implausible(se) {
+	if ct.hasLeft(se) || ct.implausible(se) {
 		return false
 	}
 	as, ok := ct.servers[se.ID]
@@ -146,7 +151,7 @@
 	at := ct.clock.advance(now)
 	for _, se := range ses {
 		_, known := ct.servers[se.ID]
-		if known || se.ID == "" || se.State == Gone || ct.hasLeft(se) {
+		if known || se.Check() != nil || se.State == Gone || ct.hasLeft(se) {
 			continue
 		}
 		ct.add(at-max(0, ct.silenceTimeout-keep), se)
@@ -165,7 +170,7 @@
 
 // leave records that an incarnation has left; 0 stands for the one that is known.
 func (ct *Catalog) leave(at time.Duration, id string, born int64) bool {
-	if was, ok := ct.left.get(id); ok && born <= was.Born || id == "" {
+	if was, ok := ct.left.get(id); ok && born <= was.Born || identifier.Check("ID", id) != nil {
 		return false
 	}
 	se := Server{ID: id}
@@ -202,10 +207,13 @@
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	at := ct.clock.advance(now)
+	if se.Check() != nil {
+		return false
+	}
 	if se.State == Gone {
 		return ct.leave(at, se.ID, se.Born)
 	}
-	if se.ID == "" || se.State != Draining || ct.hasLeft(se) {
+	if se.State != Draining || ct.hasLeft(se) {
 		return false
 	}
 	as, ok := ct.servers[se.ID]
--- a/registry/item.go
+++ b/registry/item.go
@@ -62,9 +62,10 @@
 	return so
 }
 
-// applyServer handles a source's record of a server that it holds or that left.
+// applyServer handles a source's record of a server that it holds or that left. It ignores one
+// that Check rejects.
 func (un *Union) applyServer(so *source, se Server) {
-	if se.ID == "" {
+	if se.Check() != nil {
 		return
 	}
 	it, ok := un.items[se.ID]
--- a/registry/server.go
+++ b/registry/server.go
@@ -5,7 +5,11 @@
 // unreachable.
 package registry
 
-import "fmt"
+import (
+	"fmt"
+
+	"balsamwinch.example/identifier"
+)
 
 // State says whether a backend server accepts requests.
 type State uint8
@@ -47,6 +51,41 @@
 	Born       int64  `cbor:"10,keyasint,omitempty"` // start of the incarnation in Unix milliseconds by its own clock; 0 if not announced
 }
 
+// Bounds on the numbers that a server announces. Sums over the servers of a service, and a
+// warm-up as a time.Duration, stay exact within them.
+const (
+	maxSlots      = 1 << 20
+	maxWarmMillis = 1 << 31
+	maxBorn       = 1 << 53
+)
+
+// Check returns an *identifier.Error if a record can't be one of a backend server because of
+// its texts or numbers. Such a record may not be stored, sent or used: its texts are written
+// into heads of requests and logs, and its size and numbers count for all servers together.
+func (se Server) Check() error {
+	if err := identifier.Check("ID", se.ID); err != nil {
+		return err
+	}
+	for _, te := range [...]struct{ field, text string }{
+		{"Service", se.Service}, {"Address", se.Address}, {"DataCentre", se.DataCentre}, {"Version", se.Version},
+	} {
+		if err := identifier.CheckOptional(te.field, te.text); err != nil {
+			return err
+		}
+	}
+	for _, nu := range [...]struct {
+		field        string
+		value, limit int64
+	}{
+		{"Slots", int64(se.Slots), maxSlots}, {"WarmMillis", se.WarmMillis, maxWarmMillis}, {"Born", se.Born, maxBorn}, {"State", int64(se.State), int64(Gone)},
+	} {
+		if nu.value < 0 || nu.value > nu.limit {
+			return &identifier.Error{Field: nu.field, Detail: fmt.Sprintf("want 0 to %d, got %d", nu.limit, nu.value)}
+		}
+	}
+	return nil
+}
+
 // sameContent reports whether two announcements differ at most in the sequence and the
 // remaining warm-up. Those change with each announcement and need not be published; only
 // the end of the warm-up must be.
--- a/registry/server_test.go
+++ b/registry/server_test.go
@@ -1,7 +1,10 @@
 package registry
 
 import (
+	"math"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -76,3 +79,52 @@
 		qt.Assert(t, st.String(), qt.Equals, want)
 	}
 }
+
+func TestServerCheck(t *testing.T) {
+	good := Server{ID: "i-1", Service: "s", Address: "10.0.0.1:80", DataCentre: "north", Version: "v1", Slots: 2, Sequence: 1<<64 - 1, Born: 1764720000000}
+	qt.Assert(t, good.Check(), qt.IsNil)
+	qt.Assert(t, Server{ID: "i-1", State: Gone}.Check(), qt.IsNil)
+	for _, tc := range []struct {
+		change func(se *Server)
+		want   string
+	}{
+		{func(se *Server) { se.ID = "" }, "ID: want a name, got none"},
+		{func(se *Server) { se.ID = "i-\xff" }, "ID: want UTF-8"},
+		{func(se *Server) { se.Service = "a\r\nb" }, "Service: want no control characters"},
+		{func(se *Server) { se.Address = "[fe80::1%\r\n]:80" }, "Address: want no control characters"},
+		{func(se *Server) { se.DataCentre = "\xfe" }, "DataCentre: want UTF-8"},
+		{func(se *Server) { se.Version = strings.Repeat("v", 250<<10) }, "Version: want at most 256 bytes, got 256000"},
+		{func(se *Server) { se.Slots = math.MaxInt64 }, "Slots: want 0 to 1048576, got 9223372036854775807"},
+		{func(se *Server) { se.WarmMillis = math.MaxInt64 }, "WarmMillis: want 0 to .*"},
+		{func(se *Server) { se.Born = -1 }, "Born: want 0 to .*"},
+		{func(se *Server) { se.State = 9 }, "State: want 0 to 2, got 9"},
+	} {
+		se := good
+		tc.change(&se)
+		qt.Check(t, se.Check(), qt.ErrorMatches, tc.want)
+	}
+}
+
+// Guards against a record that can't be used but counts: it must not enter a catalog or a
+// union on any way, and the others must.
+func TestInvalidRecordsAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	bad, good := ready("i-\xff", 9), ready("b", 1)
+	gone := bad
+	gone.State = Gone
+	leaving := bad
+	leaving.State = Draining
+	ct := NewCatalog(testSilenceTimeout)
+	ct.Restore(t0, []Server{bad, good}, testSilenceTimeout)
+	for _, se := range []Server{bad, gone, leaving} {
+		c.Check(ct.Announce(t0, se), qt.IsFalse)
+		c.Check(ct.Depart(t0, se), qt.IsFalse)
+		c.Check(ct.Leave(t0, se.ID), qt.IsFalse)
+	}
+	c.Assert(ct.Records(t0), qt.DeepEquals, []Server{good})
+
+	un := NewUnion(time.Minute)
+	un.Replace(t0, "one", []Server{bad, gone, good})
+	un.Apply(t0, "one", []Change{{Server: bad}, {Server: leaving}, {Server: Server{ID: bad.ID}, Dropped: true}})
+	c.Assert(un.Servers(), qt.DeepEquals, map[string][]Server{good.Service: {good}})
+}
--- a/tier/control.go
+++ b/tier/control.go
@@ -14,6 +14,7 @@
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/fleet"
+	"balsamwinch.example/identifier"
 	"balsamwinch.example/link"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
@@ -231,11 +232,19 @@
 
 // Announce processes a backend server's announcement.
 func (co *control) Announce(ctx context.Context, se registry.Server, from string) error {
+	if err := se.Check(); err != nil {
+		co.pu.Ignore(se.ID, from, err.Error())
+		return &result.Error{Code: result.Invalid, Op: "read announcement", Err: err}
+	}
 	return co.awaitStored(ctx, se.ID, co.pu.Announce(se, from))
 }
 
 // Leave removes a backend server that says that it leaves.
 func (co *control) Leave(ctx context.Context, id, from string) error {
+	if err := identifier.Check("ID", id); err != nil {
+		co.pu.Ignore(id, from, err.Error())
+		return &result.Error{Code: result.Invalid, Op: "read leave", Err: err}
+	}
 	return co.awaitStored(ctx, id, co.pu.Leave(id, from))
 }
 
--- a/tier/departurestore.go
+++ b/tier/departurestore.go
@@ -18,6 +18,7 @@
 func (ss stateStore) restoreDepartures() {
 	var ses []registry.Server
 	if ss.load(departuresFile, &ses) {
+		ses = ss.pu.CheckRestored(departuresFile, ses)
 		ss.pu.Depart(ses, nil)
 		ss.lg.Info("departures-restored", zap.Int("Servers", len(ses)))
 	}
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -54,8 +54,9 @@
 	// Announce processes an announcement of a backend server. A server that leaves is
 	// announced with the state Gone, and Born tells which start of it leaves. If it is
 	// Draining or Gone, Announce returns nil once enough control instances have stored that,
-	// and an error if they can't be reached in time; it is known here all the same. from is
-	// the address that the call came from, for the log.
+	// and an error if they can't be reached in time; it is known here all the same. The error
+	// has the code Invalid if Check rejects the server; then nothing changes. from is the
+	// address that the call came from, for the log.
 	Announce(ctx context.Context, se registry.Server, from string) error
 	// Leave removes a backend server that says that it leaves. It returns as Announce does.
 	Leave(ctx context.Context, id, from string) error
@@ -83,6 +84,24 @@
 	}
 }
 
+// MaxAnnouncementBytes is the maximum size of the body of a backend server's call.
+const MaxAnnouncementBytes = 16 << 10
+
+// AnnounceStatus returns the HTTP status for a backend server's call, given the error that
+// Announce or Leave returned: 200 if it is acknowledged, 400 if no backend server can have
+// sent it, and 503 if the backend server should call another instance.
+func AnnounceStatus(err error) int {
+	var re *result.Error
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.As(err, &re) && re.Code == result.Invalid:
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
 // EvacuateStatus returns the HTTP status for an operator's evacuation order, given the
 // error that Evacuate returned: 200 if it is committed, 404 if the data centre can't
 // exist, and 503 if the outcome is unknown.
--- a/tier/meters.go
+++ b/tier/meters.go
@@ -179,6 +179,9 @@
 	ia.announcements.Inc()
 	start := ia.ts.Now()
 	err := ia.next.Announce(ctx, se, from)
+	if ia.countIgnored(err) {
+		return err
+	}
 	if se.State != registry.Ready {
 		ia.depart.observe(ia.ts.Now().Sub(start), err)
 	}
@@ -190,10 +193,22 @@
 	ia.leaves.Inc()
 	start := ia.ts.Now()
 	err := ia.next.Leave(ctx, id, from)
+	if ia.countIgnored(err) {
+		return err
+	}
 	ia.depart.observe(ia.ts.Now().Sub(start), err)
 	return err
 }
 
+// countIgnored counts a call that was ignored, and reports whether it was.
+func (ia *instrumentedAPI) countIgnored(err error) bool {
+	ignored := AnnounceStatus(err) == http.StatusBadRequest
+	if ignored {
+		ia.ignored.Inc()
+	}
+	return ignored
+}
+
 // Ignore counts and forwards the call.
 func (ia *instrumentedAPI) Ignore(id, from, detail string) {
 	ia.ignored.Inc()
--- a/tier/statestore.go
+++ b/tier/statestore.go
@@ -10,9 +10,9 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/feed"
 	"balsamwinch.example/quarantine"
 	"balsamwinch.example/registry"
@@ -72,6 +72,7 @@
 	ss.restoreSuspects()
 	var ses []registry.Server
 	if ss.load(serversFile, &ses) {
+		ses = ss.pu.CheckRestored(serversFile, ses)
 		ss.pu.Restore(ses, maxMissedAfterStart*announcement)
 	}
 }
@@ -95,7 +96,7 @@
 		return false
 	}
 	if err == nil {
-		err = cbor.Unmarshal(data, to)
+		err = codec.Unmarshal(data, to)
 	}
 	if err != nil {
 		ss.lg.Warn("note-not-read", zap.String("Name", name), zap.Error(err))
@@ -169,7 +170,7 @@
 // save replaces a file atomically: after a power loss, either the new or the old content
 // is there. It reports whether the new content is on disk.
 func (ss stateStore) save(name string, value any) bool {
-	data, err := cbor.Marshal(value)
+	data, err := codec.Marshal(value)
 	if err == nil {
 		err = wal.WriteFileAtomic(wal.System(), ss.dir, name, data)
 	}
--- a/tier/statestore_test.go
+++ b/tier/statestore_test.go
@@ -9,6 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"balsamwinch.example/feed"
 	"balsamwinch.example/quarantine"
@@ -169,3 +171,23 @@
 		qt.Assert(t, ses[0].State, qt.Equals, registry.Draining)
 	})
 }
+
+// Guards against one record that makes a whole file unreadable: files of earlier releases may
+// hold what no backend server can have said.
+func TestInvalidSavedRecordCostsItselfAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		lines, logs := observer.New(zapcore.InfoLevel)
+		ss := newTestStore(t.TempDir())
+		ss.lg = zap.New(lines)
+		ss.pu = feed.NewPublisher(feed.PublisherConfig{Name: "one", SilenceTimeout: 4 * time.Second}, ss.ts, ss.lg)
+		c.Assert(ss.save(serversFile, []registry.Server{{ID: "i-\xff", Service: "s"}, {ID: "a", Service: "s"}, {ID: "b", Service: "\xfe"}}), qt.IsTrue)
+		c.Assert(ss.save(departuresFile, []registry.Server{{ID: "c\r\n", State: registry.Gone}, {ID: "d", Service: "s", State: registry.Draining}}), qt.IsTrue)
+		c.Assert(ss.save(rosterSizesFile, []roster.SavedSize{{Key: "\xff", DataCentre: "lima", Members: 9}}), qt.IsTrue)
+		ss.restore(time.Second)
+		c.Assert(knownIDs(ss), qt.DeepEquals, []string{"d", "a"})
+		c.Assert(ss.ro.savedSizes(), qt.HasLen, 1)
+		c.Assert(logs.FilterMessage("note-not-read").Len(), qt.Equals, 0)
+		c.Assert(logs.FilterMessage("backend-server-invalid").Len(), qt.Equals, 3)
+	})
+}
--- a/wal/record.go
+++ b/wal/record.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"balsamwinch.example/codec"
 	"balsamwinch.example/quorum"
 )
 
@@ -123,7 +124,9 @@
 
 // decodeMode allows as many entries as a Save can hold.
 var decodeMode = func() cbor.DecMode {
-	dm, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
+	do := codec.Options()
+	do.MaxArrayElements = math.MaxInt32
+	dm, err := do.DecMode()
 	if err != nil {
 		panic(err)
 	}
