upstream: write no target ID that ends a line

Cause: the ID of an announcement was decoded from the path and written as it is into the line that names the expected server; a line break in it ended the head, and the rest was a second request. Change: the client sends nothing to a target whose ID is not the value of a header. The announcement is already rejected with 400 where it enters. Evidence: TestForeignIDSmugglesNoRequest fails on the code before (three of three announcements got 200, the caller after them 503) and passes; TestTargetIDEndsNoLine checks the client alone.

--- a/tier/foreign_test.go
+++ b/tier/foreign_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -71,6 +72,30 @@
 	}
 }
 
+// Guards against a request that another writer hides in the ID of an announcement: it would
+// run at the address that the announcement names, though no caller sent it.
+func TestForeignIDSmugglesNoRequest(t *testing.T) {
+	cl := newCluster(t, 3, 2)
+	be := cl.startServers("s1", 1)[0]
+	cl.configure(config(1, "s1", "/first/"), cl.controls...)
+	for _, en := range cl.entries {
+		cl.await("the backend server serves", func() bool { return cl.get(en, "/one/a").status == http.StatusOK })
+	}
+	id := "x\r\n\r\nGET /one/hidden HTTP/1.1\r\nHost: a.example\r\nBalsamwinch-Request-Id: hidden\r\nBalsamwinch-Expect-Instance: " + be.id
+	announcement := strings.Replace(foreignBody, "127.0.0.1:9", be.hs.Listener.Addr().String(), 1)
+	for _, co := range cl.controls {
+		status, _ := cl.call(http.MethodPut, co.se.Listen.Control, "/instances/"+url.PathEscape(id), []byte(announcement))
+		qt.Check(t, status, qt.Equals, http.StatusBadRequest)
+	}
+	for _, en := range cl.entries {
+		before := be.runs.Load()
+		for range 30 {
+			cl.checkOne(cl.get(en, "/one/a"), "s1")
+		}
+		qt.Check(t, be.runs.Load()-before, qt.Equals, int64(30))
+	}
+}
+
 // Guards against a word of one writer that ends the links of all: a configuration must come
 // into force at each entry instance, also after a restart of the control instances.
 func TestForeignWordsKeepLinks(t *testing.T) {
--- a/upstream/error.go
+++ b/upstream/error.go
@@ -15,6 +15,8 @@
 	// ErrInvalidRequest means that the request isn't valid HTTP and can't be sent to any
 	// server.
 	ErrInvalidRequest = errors.New("request is not valid HTTP")
+	// ErrInvalidTarget means that the target's ID can't be written into the head of a request.
+	ErrInvalidTarget = errors.New("ID of the server is not valid in a header")
 	// ErrConnectionLimit means that all connections that the target allows are in use.
 	ErrConnectionLimit = errors.New("all connections are in use")
 	// ErrClosed means that the client was closed.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -87,7 +87,10 @@
 }
 
 // prepare writes the part of the head that doesn't depend on the connection.
-func (ex *exchange) prepare(rq *Request) error {
+func (ex *exchange) prepare(ta Target, rq *Request) error {
+	if !isTarget(ta, rq, &ex.cl.cf.Names) {
+		return ErrInvalidTarget
+	}
 	if rq.prepared != nil {
 		ex.out = append(ex.out[:0], rq.prepared...)
 		ex.tailStart = len(ex.out)
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -64,6 +64,12 @@
 	return append(bs, "\r\n"...)
 }
 
+// isTarget reports whether the lines about a target can be written: the ID is what somebody
+// has announced, and a line break in it would start another request.
+func isTarget(ta Target, rq *Request, na *Names) bool {
+	return na.Expect == "" || !rq.SendTargetID || isValue(ta.ID)
+}
+
 func appendLine(bs []byte, name, value string) []byte {
 	bs = append(bs, name...)
 	bs = append(bs, ": "...)
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sort"
 	"strings"
@@ -135,6 +138,30 @@
 	qc.Assert(re.Err, qt.ErrorIs, ErrInvalidRequest)
 }
 
+// Guards against request smuggling by the ID that a server was announced under: a line break
+// in it would end the head early, and the rest would run as a request that no caller sent.
+func TestTargetIDEndsNoLine(t *testing.T) {
+	qc := qt.New(t)
+	for _, id := range []string{"i-1\r\n\r\nGET /other HTTP/1.1\r\nHost: h", "i-1\nA: b", "i-1\r", "i-1\x00"} {
+		dialed := false
+		cl := newClient(qc, Config{Connect: func(context.Context, string) (net.Conn, error) {
+			dialed = true
+			return nil, errors.New("not reached")
+		}})
+		for _, prepared := range []bool{false, true} {
+			rq := newGet()
+			rq.SendTargetID = true
+			if prepared {
+				cl.Prepare(rq)
+			}
+			re := cl.Do(testContext(t), Target{ID: id, Address: "127.0.0.1:1", MaxConnections: 1}, rq)
+			qc.Check(re.Outcome, qt.Equals, NotSent)
+			qc.Check(re.Err, qt.ErrorIs, ErrInvalidTarget)
+		}
+		qc.Check(dialed, qt.IsFalse)
+	}
+}
+
 func TestStripHopByHop(t *testing.T) {
 	he := http.Header{
 		"Connection": {"Keep-Alive, x-a"}, "X-A": {"1"}, "X-B": {"1"}, "Keep-Alive": {"timeout=1"}, "Proxy-Authenticate": {"p"},
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -215,7 +215,7 @@
 // on that connection had not started.
 func (cl *Client) Do(ctx context.Context, ta Target, rq *Request) Result {
 	ex := cl.newExchange(rq)
-	if err := ex.prepare(rq); err != nil {
+	if err := ex.prepare(ta, rq); err != nil {
 		cl.freeExchange(ex)
 		return Result{Outcome: NotSent, Err: &Error{Server: ta.ID, Address: ta.Address, Err: err}}
 	}
