route: check the texts of a configuration where it is submitted

A health path with a line break, and names of any length, were accepted with 200. Cause: only customers' names were checked for what a header or a log line can hold. Change: tier.ParseSubmitted, which both dialects call for an operator's configuration, rejects bytes that aren't UTF-8, control characters, names of over 256 and paths of over 4,096 bytes. Configurations that were accepted before are parsed without it, so that an upgrade loses none. Evidence: TestCheckTexts; TestPutConfiguration, two new rows.

--- a/emulate/dialect.go
+++ b/emulate/dialect.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return
 	}
-	tb, err := parseTable(data)
+	tb, err := tier.ParseSubmitted(parseTable, data)
 	if err != nil {
 		writeError(wr, http.StatusBadRequest, err.Error())
 		return
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -10,8 +10,12 @@
 	"unicode/utf8"
 )
 
-// MaxBytes is the maximum length of a name in bytes.
-const MaxBytes = 256
+const (
+	// MaxBytes is the maximum length of a name in bytes.
+	MaxBytes = 256
+	// MaxPathBytes is the maximum length of a path in bytes.
+	MaxPathBytes = 4096
+)
 
 // Error says why a text is not accepted as a name. It doesn't contain the text, which may be
 // of any length and unprintable.
@@ -34,11 +38,17 @@
 }
 
 // CheckOptional returns an *Error if a text is neither empty nor accepted by Check.
-func CheckOptional(field, name string) error {
+func CheckOptional(field, name string) error { return check(field, name, MaxBytes) }
+
+// CheckPath returns an *Error if a text can't be a path or the beginning of one. An empty one is
+// accepted.
+func CheckPath(field, path string) error { return check(field, path, MaxPathBytes) }
+
+func check(field, name string, maxBytes int) error {
 	detail := ""
 	switch {
-	case len(name) > MaxBytes:
-		detail = fmt.Sprintf("want at most %d bytes, got %d", MaxBytes, len(name))
+	case len(name) > maxBytes:
+		detail = fmt.Sprintf("want at most %d bytes, got %d", maxBytes, len(name))
 	case !utf8.ValidString(name):
 		detail = "want UTF-8"
 	case strings.ContainsFunc(name, isInvisible):
--- a/tier/dialect.go
+++ b/tier/dialect.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"balsamwinch.example/evacuation"
 	"balsamwinch.example/gateway"
@@ -36,6 +37,20 @@
 	Parse(data []byte) (*route.Table, error)
 }
 
+// ParseSubmitted parses a configuration that an operator sends. Beyond what parse rejects, it
+// rejects bytes that aren't UTF-8 and texts that can't be written everywhere. An accepted
+// configuration is parsed without these checks.
+func ParseSubmitted(parse func(data []byte) (*route.Table, error), data []byte) (*route.Table, error) {
+	if !utf8.Valid(data) {
+		return nil, &result.Error{Code: result.Invalid, Op: "read configuration", Detail: "want UTF-8"}
+	}
+	tb, err := parse(data)
+	if err != nil {
+		return nil, err
+	}
+	return tb, tb.CheckTexts()
+}
+
 // ControlAPI is what a control instance offers to operators and backend servers. Errors
 // are of type *result.Error.
 type ControlAPI interface {
