trail: bound the texts of log lines, and show control characters in reports

A text of 250 KB in an announcement was written into each line about it; five of them fill the queue, and lines about others are dropped. A line break or a terminal sequence in an ID was printed by balsamctl explain as it is, so that it looked like a line of the log. Change: a text field has at most 1 KiB and then its length; values read from a log show control characters as escape sequences. TestWritesAreWholeLines made its long line of one long text, which is cut now; it makes it of twenty texts in a list, and checks the same. Evidence: TestLongTextsAreCut, TestControlCharactersStayVisible.

--- a/trail/scan.go
+++ b/trail/scan.go
@@ -175,6 +175,7 @@
 		if err := de.Decode(&fi.Value); err != nil {
 			return nil, err
 		}
+		fi.Value = visible(fi.Value)
 		fs = append(fs, fi)
 	}
 	_, err := de.Token()
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -166,7 +166,7 @@
 
 // Write encodes and queues a line.
 func (co *core) Write(ent zapcore.Entry, fs []zapcore.Field) error {
-	bu, err := co.en.EncodeEntry(ent, fs)
+	bu, err := co.en.EncodeEntry(ent, boundFields(fs))
 	if err != nil {
 		return err
 	}
