upstream: bound the memory of all replies together

Each body was bounded by 8 MiB, all together by nothing. Heads are bounded by 64 KiB instead of 256.

--- a/upstream/error.go
+++ b/upstream/error.go
@@ -37,6 +37,7 @@
 	errTooManyInterimReplies = errors.New("too many interim replies")
 	errHeadTooLong           = errors.New("head of the reply is too long")
 	errBodyTooLong           = errors.New("body of the reply is too long")
+	errBodyMemory            = errors.New("no memory left for the body of the reply")
 	errBytesBeforeRequest    = errors.New("bytes came before the request")
 	errBytesAfterReply       = errors.New("bytes came after the reply")
 	errClosedWhileIdle       = errors.New("connection ended while idle")
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -19,7 +19,7 @@
 	// reading starts.
 	maxBodyBeforeRead = 64 << 10
 	// maxHeadBytes bounds the head of a reply with the interim replies before it.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 	// writerTimeout is how long the writer of a body may still take after the reply.
 	writerTimeout = 2 * time.Millisecond
 	// unlimited is the read budget for data that is bounded elsewhere.
@@ -61,6 +61,7 @@
 	rs         *http.Response
 	body       []byte
 	recycled   *Reply // recycled reply whose buffer body uses; nil for none
+	reserved   int    // bytes of body that are charged to Client.memory
 
 	readFunc   func(fd uintptr) bool
 	groupIndex int // index in its cancelGroup
@@ -79,6 +80,8 @@
 
 // freeExchange keeps the buffers of an exchange for later ones.
 func (cl *Client) freeExchange(ex *exchange) {
+	cl.memory.release(ex.reserved)
+	ex.reserved = 0
 	ex.po, ex.cn, ex.requestID, ex.bodyRest, ex.recycled = nil, nil, "", nil, nil
 	ex.rs, ex.body, ex.readBuf, ex.readErr, ex.ioErr = nil, nil, nil, nil, nil
 	if cap(ex.out) <= 2*writeBufferBytes {
@@ -206,7 +209,10 @@
 		re.Outcome, re.Err = gr.outcome, ex.error(gr.err)
 	case errors.Is(ex.ioErr, os.ErrDeadlineExceeded):
 		re.Outcome, re.Err = TimedOut, ex.error(ErrDeadline)
-	case ex.ioErr == nil && !errors.Is(err, errBodyTooLong):
+	case errors.Is(err, errBodyTooLong) || errors.Is(err, errBodyMemory):
+		re.Outcome, re.Err = Lost, ex.error(err)
+		ex.po.logWrongBytes(err, nil)
+	case ex.ioErr == nil:
 		re.Outcome, re.Err = Wrong, ex.error(err)
 		sample, _ := ex.rd.Peek(min(ex.rd.Buffered(), maxSampleBytes))
 		ex.po.logWrongBytes(err, sample)
--- a/upstream/reply.go
+++ b/upstream/reply.go
@@ -92,8 +92,8 @@
 		ex.body = ex.bodyBuffer(size)
 	}
 	for {
-		if len(ex.body) == cap(ex.body) {
-			ex.body = slices.Grow(ex.body, minBodyGrowth)
+		if len(ex.body) == cap(ex.body) && !ex.growBody(maxBytes) {
+			return errBodyMemory
 		}
 		nu, err := rs.Body.Read(ex.body[len(ex.body):cap(ex.body)])
 		ex.body = ex.body[:len(ex.body)+nu]
@@ -108,6 +108,19 @@
 	}
 }
 
+// growBody doubles the buffer of the body, up to a little more than the maximum size. It
+// reports whether there is room for it.
+func (ex *exchange) growBody(maxBytes int) bool {
+	size := min(max(2*cap(ex.body), minBodyGrowth), max(maxBytes, cap(ex.body))+minBodyGrowth)
+	held, ok := ex.cl.memory.reserve(ex.reserved, size)
+	if !ok {
+		return false
+	}
+	ex.reserved = held
+	ex.body = slices.Grow(ex.body, size-len(ex.body))
+	return true
+}
+
 // bodyBuffer returns an empty buffer of at least that capacity, from a recycled reply if
 // that is large enough.
 func (ex *exchange) bodyBuffer(size int) []byte {
@@ -185,6 +198,7 @@
 	}
 	ex.recycled = nil
 	*ry = Reply{Status: rs.StatusCode, Header: rs.Header, Body: ex.body, NotRun: notRun}
+	ex.keep(ry)
 	stripHopByHop(ry.Header)
 	if !ex.isHead && rs.StatusCode != http.StatusNotModified {
 		delete(ry.Header, "Content-Length")
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -25,6 +25,7 @@
 	defaultDialTimeout   = 300 * time.Millisecond
 	defaultIdleTimeout   = 30 * time.Second
 	defaultMaxReplyBytes = 8 << 20
+	defaultBodyMemory    = 64 << 20
 )
 
 // Names holds the names of the headers that the client itself reads or writes. A header
@@ -52,6 +53,9 @@
 	WaitTimeout time.Duration
 	// MaxReplyBytes bounds the body of a reply; default 8 MiB.
 	MaxReplyBytes int
+	// BodyMemory bounds the bytes of all bodies of over 64 KiB that are being received or not
+	// yet recycled; default 64 MiB. A body that finds no room ends its exchange.
+	BodyMemory int
 	// Connect opens a connection to an IP address and port; default is TCP without
 	// keep-alive probes.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
@@ -67,6 +71,9 @@
 	if cf.MaxReplyBytes <= 0 {
 		cf.MaxReplyBytes = defaultMaxReplyBytes
 	}
+	if cf.BodyMemory <= 0 {
+		cf.BodyMemory = defaultBodyMemory
+	}
 	if cf.Connect == nil {
 		cf.Connect = connectTCP
 	}
@@ -121,6 +128,8 @@
 	NotRun  bool // whether the server states that it didn't run the request
 	Load    Load
 	HasLoad bool
+
+	charge *charge // nil if Body is small
 }
 
 // Load is the load that a server reports.
@@ -186,6 +195,7 @@
 	ts *timer.Service
 	lg *zap.Logger
 
+	memory       bodyMemory
 	exchangePool sync.Pool
 	replyPool    sync.Pool // recycled replies
 
@@ -196,7 +206,8 @@
 
 // New returns a client without open connections.
 func New(cf Config, ts *timer.Service, lg *zap.Logger) *Client {
-	return &Client{cf: cf.withDefaults(), ts: ts, lg: lg, pools: make(map[string]*pool)}
+	cf = cf.withDefaults()
+	return &Client{cf: cf, ts: ts, lg: lg, memory: bodyMemory{limit: cf.BodyMemory}, pools: make(map[string]*pool)}
 }
 
 // Prepare writes the part of a request that is the same for all servers, for a request
@@ -236,6 +247,9 @@
 // Recycle takes back a reply that is no longer used, so that its body buffer is reused
 // for a later reply.
 func (cl *Client) Recycle(ry *Reply) {
+	if ry.charge != nil {
+		ry.charge.release()
+	}
 	if cap(ry.Body) > 0 && cap(ry.Body) <= maxPreallocation {
 		*ry = Reply{Body: ry.Body[:0]}
 		cl.replyPool.Put(ry)
