gateway: a stamp that isn't one list element costs its part alone

A merged answer names the stamps of all parts in one list. A backend server whose stamp holds a comma, or 60 KB, made the whole answer wrong or unreadable for the caller. Change: such a part counts as one without a stamp, which is asked again or left out.

--- a/gateway/backend_test.go
+++ b/gateway/backend_test.go
@@ -275,6 +275,8 @@
 	lines  []string // additional header lines
 	// whether the reply has a stamp
 	stamped bool
+	// text added to the stamp
+	stampSuffix string
 	// whether the reply has a Content-Length
 	framed bool
 	// whether the body is chunked
@@ -298,7 +300,7 @@
 	}
 	if re.stamped {
 		stamp := wo.be.rg.hist.issueStamp(stampedReply{id: re.id, service: wo.be.service, server: wo.be.id, status: re.status, body: body})
-		lines = append(lines, names.Stamp+": "+stamp)
+		lines = append(lines, names.Stamp+": "+stamp+re.stampSuffix)
 	}
 	if re.framed && re.status != http.StatusNoContent {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(re.body)))
--- a/gateway/merge_test.go
+++ b/gateway/merge_test.go
@@ -255,6 +255,24 @@
 	})
 }
 
+// Guards against the stamp of one part that makes the list of all unreadable.
+func TestStampOfOnePartKeepsOthers(t *testing.T) {
+	for _, suffix := range []string{", other", strings.Repeat("x", 60<<10)} {
+		onBothNetworks(t, func(t *testing.T, nw network) {
+			rg := newRig(t, nw, setup{})
+			odd := respondWith(func(re *reply) { re.stampSuffix = suffix })
+			rg.startServers("p0", 2)
+			rg.startServers("p1", 2, odd, respondOK)
+			rg.startServers("p2", 2, odd)
+			rg.setTable(route.Route{
+				Prefix: "/", Timeout: longTimeout, TargetLatency: longTimeout / 2, MaxAttempts: 2,
+				Shards: shardNames(3), Merge: route.Merge{TopK: 50, LeastShare: 0.5},
+			})
+			checkMissing(t, rg.get("/a", http.StatusOK), 1)
+		})
+	}
+}
+
 // The index is repartitioned, and the next version of the configuration names other shards.
 // A query that started under the old version must finish on the old shards, including
 // retries; mixed parts would lose or duplicate hits. The next query uses only the new
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,8 +4,10 @@
 	"context"
 	"runtime"
 	"slices"
+	"strings"
 	"time"
 
+	"balsamwinch.example/identifier"
 	"balsamwinch.example/replica"
 	"balsamwinch.example/scatter"
 	"balsamwinch.example/upstream"
@@ -294,7 +296,7 @@
 	if res.rs.Outcome == upstream.NoConnection {
 		ex.allowServerAgain(res)
 	}
-	if !ex.qu.HasPart(res.shard) && res.rs.Outcome == upstream.Answered && !lacksStamp(res.rs.Reply) {
+	if !ex.qu.HasPart(res.shard) && res.rs.Outcome == upstream.Answered && !ex.ca.lacksStamp(res.rs.Reply) {
 		ex.replies[res.shard] = res.rs.Reply
 	}
 	ex.qu.AttemptEnded(ex.ca.sv.ts.Now(), res.shard, ex.ca.scatterOutcome(res.rs))
@@ -326,7 +328,7 @@
 func (ca *call) scatterOutcome(rs upstream.Result) scatter.Outcome {
 	switch rs.Outcome {
 	case upstream.Answered:
-		if lacksStamp(rs.Reply) {
+		if ca.lacksStamp(rs.Reply) {
 			return scatter.OutcomeLost
 		}
 		return ca.outcomeForStatus(rs.Reply.Status)
@@ -340,9 +342,14 @@
 }
 
 // lacksStamp reports whether a success has no stamp. Nothing proves then that a backend
-// server produced it for this request, so it must not be forwarded.
-func lacksStamp(rp *upstream.Reply) bool {
-	return rp.Stamp == "" && isSuccess(rp.Status)
+// server produced it for this request, so it must not be forwarded. In a merged answer the
+// stamps of all parts stand in one list, and one that isn't a single short element of it
+// would make the others unreadable.
+func (ca *call) lacksStamp(rp *upstream.Reply) bool {
+	if !isSuccess(rp.Status) {
+		return false
+	}
+	return rp.Stamp == "" || len(ca.ro.Shards) > 0 && (len(rp.Stamp) > identifier.MaxBytes || strings.Contains(rp.Stamp, ","))
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
