link: take memory for a frame as its bytes arrive

Four bytes on a new connection to the link port made an instance allocate 16 MB; a hundred such connections ended it, with all that it knew in memory. Change: a frame's buffer starts with 64 KiB and doubles with what has arrived. Evidence: TestClaimedSizeTakesNoMemory fails before and passes in 3 of 3 runs with the race detector.

--- a/link/link.go
+++ b/link/link.go
@@ -35,6 +35,8 @@
 	readBufferBytes = 8 << 10
 	// maxChunkBytes is the most that is written under one deadline.
 	maxChunkBytes = 64 << 10
+	// maxPreallocation bounds the memory that is allocated for a frame before its bytes arrive.
+	maxPreallocation = 64 << 10
 )
 
 // pingFrame is an empty frame, which keeps an idle connection from looking silent.
@@ -280,13 +282,29 @@
 	if size > peer.MaxFrameBytes {
 		return nil, fmt.Errorf("frame of %d bytes, want at most %d", size, peer.MaxFrameBytes)
 	}
-	frame := make([]byte, size)
-	if _, err := io.ReadFull(co.rd, frame); err != nil {
+	frame, err := co.readFrame(int(size))
+	if err != nil {
 		return nil, err
 	}
 	return co.cf.Codec.Decode(frame)
 }
 
+// readFrame reads a frame of a given size. Memory is taken as the bytes arrive: whoever reaches
+// the port could otherwise claim it all with a few prefixes.
+func (co *Conn) readFrame(size int) ([]byte, error) {
+	frame := make([]byte, min(size, maxPreallocation))
+	for read := 0; ; {
+		count, err := io.ReadFull(co.rd, frame[read:])
+		if err != nil {
+			return nil, err
+		}
+		if read += count; read == size {
+			return frame, nil
+		}
+		frame = append(frame, make([]byte, min(size-read, read))...)
+	}
+}
+
 // deadlineReader reads from the connection and fails if nothing is received for
 // Config.SilenceTimeout. The deadline is renewed for each read: an end that was cut off
 // without a reset sends nothing more, and only the silence shows it. A process that was frozen
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -685,3 +686,32 @@
 		c.Assert(err, qt.IsNil)
 	}
 }
+
+// Guards against memory that is taken for the size that a prefix claims: a hundred connections
+// with a prefix each would end the process.
+func TestClaimedSizeTakesNoMemory(t *testing.T) {
+	c := qt.New(t)
+	const conns = 100
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	errs := make(chan error, conns)
+	for range conns {
+		near, far := net.Pipe()
+		co := link.New(near, config())
+		defer co.Close()
+		go func() {
+			_, err := co.Receive()
+			errs <- err
+		}()
+		_, err := far.Write(binary.BigEndian.AppendUint32(nil, peer.MaxFrameBytes))
+		c.Assert(err, qt.IsNil)
+		_, err = far.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(far.Close(), qt.IsNil)
+	}
+	for range conns {
+		c.Check(<-errs, qt.IsNotNil)
+	}
+	runtime.ReadMemStats(&after)
+	c.Assert(after.TotalAlloc-before.TotalAlloc < conns*peer.MaxFrameBytes/10, qt.IsTrue)
+}
