soak: a writer whose announcements no backend server can have sent

Change: the fault ForeignWords draws bytes, lengths and numbers for each field of an announcement or leave, and reports one that is acknowledged.

--- /dev/null
+++ b/emulate/soak/foreign.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"balsamwinch.example/emulate"
+	"balsamwinch.example/identifier"
+	"balsamwinch.example/registry"
+)
+
+// foreignInterval is the time between two calls of a writer that is no backend server.
+const foreignInterval = 10 * time.Millisecond
+
+// foreignWords sends announcements and leaves that no backend server can have sent to all
+// control instances in turn. The error names the first that was acknowledged.
+func (ij *injector) foreignWords(ctx context.Context, fa Fault) error {
+	rd := rand.New(rand.NewPCG(uint64(fa.At), uint64(fa.For)))
+	end := ij.ts.Now().Add(fa.For)
+	addresses := ij.lo.ControlAddresses()
+	var clients []*emulate.ControlClient
+	for ix := range addresses {
+		co := emulate.NewControlClient(addresses[ix : ix+1])
+		defer co.Close()
+		clients = append(clients, co)
+	}
+	for nth := 0; ij.ts.Now().Before(end); nth++ {
+		se := drawForeign(rd, ij.cf.plainServices())
+		co := clients[nth%len(clients)]
+		err := co.Announce(ctx, se)
+		if se.State == registry.Gone {
+			err = co.Leave(ctx, se.ID)
+		}
+		if err == nil {
+			return fmt.Errorf("acknowledged %.200q", fmt.Sprint(se))
+		}
+		if ij.ts.Sleep(ctx, foreignInterval) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// drawForeign draws a record that Check rejects.
+func drawForeign(rd *rand.Rand, services []string) registry.Server {
+	for {
+		se := registry.Server{
+			ID: fmt.Sprintf("foreign-%d", rd.IntN(10)), Service: services[rd.IntN(len(services))], Address: "127.0.0.1:9",
+			DataCentre: "miraflores", Version: "v1", Slots: 1 + rd.IntN(8), State: registry.State(rd.IntN(3)), Sequence: rd.Uint64N(1000),
+		}
+		word := drawWord(rd)
+		switch rd.IntN(6) {
+		case 0:
+			se.Service = word
+		case 1:
+			se.Version = word
+		case 2:
+			se.DataCentre = word
+		case 3:
+			se.Slots = 1 << (21 + rd.IntN(40))
+		default:
+			se.ID = word
+		}
+		if identifier.Check("ID", se.ID) != nil {
+			return se
+		}
+		// JSON replaces bytes that aren't UTF-8, and a leave has only the ID.
+		if err := se.Check(); err != nil && se.State != registry.Gone && !strings.HasSuffix(err.Error(), "want UTF-8") {
+			return se
+		}
+	}
+}
+
+// drawWord draws bytes of any kind and length.
+func drawWord(rd *rand.Rand) string {
+	switch rd.IntN(4) {
+	case 0:
+		bs := make([]byte, 1+rd.IntN(40))
+		for ix := range bs {
+			bs[ix] = byte(rd.Uint32())
+		}
+		return string(bs)
+	case 1:
+		return "i-1\r\n\r\nGET /hidden HTTP/1.1\r\nHost: " + host
+	case 2:
+		return strings.Repeat("x", 257+rd.IntN(6000))
+	default:
+		return "i-\xc3" + strings.Repeat("\x00", rd.IntN(3))
+	}
+}
--- a/emulate/soak/injector.go
+++ b/emulate/soak/injector.go
@@ -90,6 +90,8 @@
 		return ij.operatorFault(ctx, fa)
 	case componentDataCentre:
 		return ij.evacuate(ctx, fa)
+	case componentWriter:
+		return ij.foreignWords(ctx, fa)
 	}
 	switch fa.Kind {
 	case ServerCrash, ServiceCrash:
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -40,6 +40,7 @@
 	Evacuate      Kind = "Evacuate"      // evacuates a data centre and withdraws the evacuation
 	ControlHang   Kind = "ControlHang"   // suspends a control instance with its connections open
 	LeaveKill     Kind = "LeaveKill"     // a server leaves; the control instance that acknowledged it is killed at once, in half of the cases without its data
+	ForeignWords  Kind = "ForeignWords"  // sends announcements that no backend server can have sent
 )
 
 // Kinds returns all kinds.
@@ -49,7 +50,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, ControlHang, RequestFatal, Evacuate, LeaveKill, // Appended, so that existing seeds draw the same faults as before.
+		ServerAgain, ControlHang, RequestFatal, Evacuate, LeaveKill, ForeignWords, // Appended, so that existing seeds draw the same faults as before.
 	}
 }
 
@@ -64,6 +65,7 @@
 	componentOperator
 	componentRequest
 	componentDataCentre
+	componentWriter
 )
 
 func (ki Kind) component() component {
@@ -78,6 +80,8 @@
 		return componentRequest
 	case Evacuate:
 		return componentDataCentre
+	case ForeignWords:
+		return componentWriter
 	case ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid:
 		return componentOperator
 	default:
@@ -207,7 +211,7 @@
 			continue
 		}
 		switch fa.Kind.component() {
-		case componentShards, componentRequest, componentDataCentre:
+		case componentShards, componentRequest, componentDataCentre, componentWriter:
 			return false
 		case componentEntry:
 			entries++
