soak: check that an acknowledged version is in force

Cause: the soak checked that no instance goes back and that what was acknowledged can be read back, not that it answers requests; a tier whose links are down passed it. Change: the check "in force": 4 s after the last fault of control and after the instance's first request, a request sent later than 3 s after an acknowledgement is not answered by an older version. Each control instance has a foreign writer of its own. soak-foreign.yaml has faults longer than these 3 s. TestEachCheckDetectsItsFault and TestValidRunEvaluatesEveryCheck have it.

--- a/emulate/soak/answers.go
+++ b/emulate/soak/answers.go
@@ -34,17 +34,23 @@
 	Request
 	incarnation  int             // incarnation of the entry instance
 	minVersion   uint64          // version that was certainly in force there when it was sent
+	dueVersion   uint64          // version that had to be in force there by then; 0 if none is certain
 	starts       int             // number of times that a backend server started it, over all shards
 	notRunStatus int             // status that reported that nothing ran; 0 for none
 	arrivedAt    map[string]bool // services at whose servers it has arrived
 }
 
 // RequestSent records a request before it is sent.
-func (ch *Checker) RequestSent(rq Request) {
+func (ch *Checker) RequestSent(at time.Time, rq Request) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	en := ch.entry(rq.Entry)
-	ch.requests[rq.ID] = &request{Request: rq, incarnation: en.incarnation, minVersion: en.minVersion, arrivedAt: make(map[string]bool)}
+	if en.since.IsZero() {
+		en.since = at
+	}
+	ch.requests[rq.ID] = &request{
+		Request: rq, incarnation: en.incarnation, minVersion: en.minVersion, dueVersion: ch.versionDue(at, en), arrivedAt: make(map[string]bool),
+	}
 }
 
 // isNotRunStatus reports whether a status means that a request has not run and never
@@ -152,6 +158,7 @@
 		return // The instance was replaced in the meantime, and it isn't known which one responded.
 	}
 	newest := candidates[len(candidates)-1].version
+	ch.checkInForce(at, rq, newest)
 	ch.check(CheckVersion, newest >= rq.minVersion, Violation{Request: rq.ID, Instance: rq.Entry}, at, func() string {
 		return fmt.Sprintf("answered by version %d or older, %d was in force before", newest, rq.minVersion)
 	})
--- a/emulate/soak/checker.go
+++ b/emulate/soak/checker.go
@@ -21,6 +21,7 @@
 	CheckOnce            Check = "once"        // A request that is not repeatable ran at most once.
 	CheckDrain           Check = "drain"       // No request reaches a server later than the drain time after its draining was acknowledged.
 	CheckVersion         Check = "version"     // The version never goes back at one entry instance.
+	CheckInForce         Check = "in force"    // Without a fault of control, a version answers all requests sent later than 3 s after its acknowledgement.
 	CheckAccepted        Check = "accepted"    // Acknowledged configurations can be read back.
 	CheckRefused         Check = "refused"     // An invalid configuration is rejected, and one that is sent again is accepted.
 	CheckBudget          Check = "budget"      // Arrivals beyond the first stay within the retry budget in every window, for each service.
@@ -34,7 +35,7 @@
 func AllChecks() []Check {
 	return []Check{
 		CheckStamp, CheckShards, CheckDuplicateParts, CheckPartCount, CheckRecords, CheckNotRun, CheckOnce,
-		CheckDrain, CheckVersion, CheckAccepted, CheckRefused, CheckBudget, CheckConnections, CheckQuarantine, CheckFalseQuarantine, CheckEvacuated,
+		CheckDrain, CheckVersion, CheckInForce, CheckAccepted, CheckRefused, CheckBudget, CheckConnections, CheckQuarantine, CheckFalseQuarantine, CheckEvacuated,
 	}
 }
 
@@ -102,20 +103,25 @@
 	sentVersions   []sentVersion        // in the order of the versions
 	sentData       map[uint64]string
 	acknowledged   uint64
-	entries        map[string]*entryState
-	requests       map[string]*request
-	drainAckedAt   map[string]time.Time
-	resets         map[string]int
-	arrivals       map[string]*serviceArrivals
-	fatalRequests  map[string]*fatalRequest // requests that crash servers, by path
-	firsts         int
-	extras         int
+
+	acknowledgements []acknowledgement
+	control          controlCalm
+
+	entries       map[string]*entryState
+	requests      map[string]*request
+	drainAckedAt  map[string]time.Time
+	resets        map[string]int
+	arrivals      map[string]*serviceArrivals
+	fatalRequests map[string]*fatalRequest // requests that crash servers, by path
+	firsts        int
+	extras        int
 }
 
 // entryState is the state of one incarnation of an entry instance.
 type entryState struct {
 	incarnation int
-	minVersion  uint64 // highest version that was certainly in force there
+	minVersion  uint64    // highest version that was certainly in force there
+	since       time.Time // when the first request was sent there
 }
 
 // NewChecker returns a checker for a run. activeFaults is called for each violation.
@@ -207,9 +213,10 @@
 }
 
 // ConfigurationAcknowledged records that a version was accepted.
-func (ch *Checker) ConfigurationAcknowledged(version uint64) {
+func (ch *Checker) ConfigurationAcknowledged(at time.Time, version uint64) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
+	ch.acknowledgements = append(ch.acknowledgements, acknowledgement{version, at})
 	ch.acknowledged = max(ch.acknowledged, version)
 }
 
--- a/emulate/soak/checker_test.go
+++ b/emulate/soak/checker_test.go
@@ -43,8 +43,10 @@
 	return hi
 }
 
-func (hi *history) sent(id, group string) {
-	hi.ch.RequestSent(Request{ID: id, Group: group, Path: "/" + group + "/x", Entry: "entry"})
+func (hi *history) sent(id, group string) { hi.sentAt(0, id, group) }
+
+func (hi *history) sentAt(millis int, id, group string) {
+	hi.ch.RequestSent(at(millis), Request{ID: id, Group: group, Path: "/" + group + "/x", Entry: "entry"})
 }
 
 func (hi *history) serverEvent(millis int, kind emulate.ServerEventKind, server, id string) {
@@ -58,7 +60,7 @@
 
 // rejectedAsFatal records a request that is rejected as one that crashes servers.
 func (hi *history) rejectedAsFatal(id, path string) {
-	hi.ch.RequestSent(Request{ID: id, Group: groupPlain, Path: path, Entry: "entry"})
+	hi.ch.RequestSent(at(0), Request{ID: id, Group: groupPlain, Path: path, Entry: "entry"})
 	hi.ch.RequestAnswered(at(22000), id, emulate.Response{Status: 503, Body: []byte(`{"Code":109,"Detail":""}`)})
 }
 
@@ -140,8 +142,14 @@
 	hi.serverEvent(26500, emulate.EventRequestReceived, "p2", "unknown")
 	hi.ch.EvacuationEnding("south")
 	hi.serverEvent(26502, emulate.EventRequestReceived, "p2", "unknown")
-	hi.ch.ConfigurationAcknowledged(3)
-	hi.ch.ConfigurationAcknowledged(1)
+	hi.ch.ConfigurationAcknowledged(at(27000), 3)
+	hi.ch.ConfigurationAcknowledged(at(27000), 1)
+	hi.ch.ControlFault(at(28000), true)
+	hi.sentAt(31000, "hung", groupPlain)
+	hi.ch.ControlFault(at(32000), false)
+	hi.sentAt(35999, "early", groupPlain)
+	hi.sentAt(36000, "due", groupPlain)
+	hi.plainResponse(36010, "due", "p1")
 	hi.ch.ConfigurationRead(at(17000), hi.ch.LatestAcknowledged(), 3, []byte("three"))
 	hi.ch.CheckRefusal(at(17001), "", true)
 }
@@ -243,8 +251,17 @@
 			hi.plain(2500, "r", "p1") // Only version 3 is above 2.
 			hi.plain(2600, "s", "q1")
 		}},
+		{"an acknowledged version is not in force", CheckInForce, func(hi *history) {
+			hi.sent("first", groupPlain)
+			hi.ch.ConfigurationAcknowledged(at(2000), 3)
+			hi.ch.ConfigurationAcknowledged(at(2000), 1)
+			hi.sentAt(5000, "early", groupPlain)
+			hi.plainResponse(5010, "early", "q1")
+			hi.sentAt(5001, "late", groupPlain)
+			hi.plainResponse(5020, "late", "q1")
+		}},
 		{"an acknowledged version is gone", CheckAccepted, func(hi *history) {
-			hi.ch.ConfigurationAcknowledged(2)
+			hi.ch.ConfigurationAcknowledged(at(1100), 2)
 			hi.ch.ConfigurationRead(at(3000), hi.ch.LatestAcknowledged(), 1, []byte("one"))
 		}},
 		{"a version with another content", CheckAccepted, func(hi *history) { hi.ch.ConfigurationRead(at(3000), 2, 2, []byte("one")) }},
--- a/emulate/soak/fatal.go
+++ b/emulate/soak/fatal.go
@@ -152,7 +152,7 @@
 			ID: fmt.Sprintf("%s-%s-%d", content, group, nth), Group: group, Path: "/" + group + "/" + content, Entry: list[nth%len(list)],
 		}
 		wg.Go(func() {
-			ij.ch.RequestSent(rq)
+			ij.ch.RequestSent(ij.ts.Now(), rq)
 			if res, err := ij.ru.ca.Send(ctx, rq.Entry, emulate.Request{ID: rq.ID, Host: host, Path: rq.Path, Timeout: ij.ru.timeout(group)}); err == nil {
 				ij.ch.RequestAnswered(ij.ts.Now(), rq.ID, res)
 			}
--- a/emulate/soak/foreign.go
+++ b/emulate/soak/foreign.go
@@ -12,36 +12,33 @@
 	"balsamwinch.example/registry"
 )
 
-// foreignInterval is the time between two calls of a writer that is no backend server.
+// foreignInterval is the time between two calls to a control instance by a writer that is no
+// backend server.
 const foreignInterval = 10 * time.Millisecond
 
-// foreignWords sends announcements and leaves that no backend server can have sent to all
-// control instances in turn. The error names the first that was acknowledged.
+// foreignWords sends announcements and leaves that no backend server can have sent to each
+// control instance. The error names one that was acknowledged.
 func (ij *injector) foreignWords(ctx context.Context, fa Fault) error {
-	rd := rand.New(rand.NewPCG(uint64(fa.At), uint64(fa.For)))
-	end := ij.ts.Now().Add(fa.For)
-	addresses := ij.lo.ControlAddresses()
-	var clients []*emulate.ControlClient
-	for ix := range addresses {
-		co := emulate.NewControlClient(addresses[ix : ix+1])
+	ctx, cancel := context.WithTimeout(ctx, fa.For)
+	defer cancel()
+	return concurrently(ij.lo.ControlAddresses(), func(address string) error {
+		rd := rand.New(rand.NewPCG(uint64(fa.At), uint64(fa.For)))
+		co := emulate.NewControlClient([]string{address})
 		defer co.Close()
-		clients = append(clients, co)
-	}
-	for nth := 0; ij.ts.Now().Before(end); nth++ {
-		se := drawForeign(rd, ij.cf.plainServices())
-		co := clients[nth%len(clients)]
-		err := co.Announce(ctx, se)
-		if se.State == registry.Gone {
-			err = co.Leave(ctx, se.ID)
-		}
-		if err == nil {
-			return fmt.Errorf("acknowledged %.200q", fmt.Sprint(se))
-		}
-		if ij.ts.Sleep(ctx, foreignInterval) != nil {
-			break
+		for ij.ts.Sleep(ctx, foreignInterval) == nil {
+			if se := drawForeign(rd, ij.cf.plainServices()); sendForeign(ctx, co, se) == nil {
+				return fmt.Errorf("acknowledged %.200q", fmt.Sprint(se))
+			}
 		}
+		return nil
+	})
+}
+
+func sendForeign(ctx context.Context, co *emulate.ControlClient, se registry.Server) error {
+	if se.State == registry.Gone {
+		return co.Leave(ctx, se.ID)
 	}
-	return nil
+	return co.Announce(ctx, se)
 }
 
 // drawForeign draws a record that Check rejects.
@@ -49,7 +46,7 @@
 	for {
 		se := registry.Server{
 			ID: fmt.Sprintf("foreign-%d", rd.IntN(10)), Service: services[rd.IntN(len(services))], Address: "127.0.0.1:9",
-			DataCentre: "miraflores", Version: "v1", Slots: 1 + rd.IntN(8), State: registry.State(rd.IntN(3)), Sequence: rd.Uint64N(1000),
+			DataCentre: "miraflores", Version: "v1", Slots: 1 + rd.IntN(8), State: registry.State(rd.IntN(3)), Sequence: rd.Uint64N(1000), Born: 1 + rd.Int64N(1e12),
 		}
 		word := drawWord(rd)
 		switch rd.IntN(6) {
--- a/emulate/soak/injector.go
+++ b/emulate/soak/injector.go
@@ -63,7 +63,14 @@
 	ij.mu.Lock()
 	ij.active = append(ij.active, fa)
 	ij.mu.Unlock()
+	isControl := fa.Kind.component() == componentControl
+	if isControl {
+		ij.ch.ControlFault(ij.ts.Now(), true)
+	}
 	err := ij.apply(ctx, fa)
+	if isControl {
+		ij.ch.ControlFault(ij.ts.Now(), false)
+	}
 	ij.mu.Lock()
 	defer ij.mu.Unlock()
 	ij.active = slices.DeleteFunc(ij.active, func(other Fault) bool { return other == fa })
--- a/emulate/soak/operator.go
+++ b/emulate/soak/operator.go
@@ -110,7 +110,7 @@
 	for {
 		err := op.co.Configure(ctx, data)
 		if err == nil {
-			op.ch.ConfigurationAcknowledged(version)
+			op.ch.ConfigurationAcknowledged(op.ts.Now(), version)
 			op.mu.Lock()
 			defer op.mu.Unlock()
 			if version > op.latestVersion {
--- a/emulate/soak/run.go
+++ b/emulate/soak/run.go
@@ -182,7 +182,7 @@
 		Entry: list[ar.Seed%uint64(len(list))],
 	}
 	ru.st.recordLag(ru.ts.Now().Sub(intended))
-	ru.ch.RequestSent(rq)
+	ru.ch.RequestSent(ru.ts.Now(), rq)
 	res, err := ru.ca.Send(ctx, rq.Entry, emulate.Request{ID: rq.ID, Host: host, Path: rq.Path, Timeout: ru.timeout(group)})
 	now := ru.ts.Now()
 	if err == nil {
