--- a/gateway/body.go
+++ b/gateway/body.go
@@ -17,6 +17,8 @@
 	body, err := io.ReadAll(rd)
 	var mb *http.MaxBytesError
 	switch {
+	case errors.Is(err, ErrNoMemory):
+		return nil, http.StatusServiceUnavailable, ErrNoMemory.Error()
 	case errors.As(err, &mb):
 		return nil, http.StatusRequestEntityTooLarge, bodyTooLarge
 	case err != nil:
@@ -25,4 +27,7 @@
 	return body, 0, ""
 }
 
+// ErrNoMemory is returned by the reader of a body for which no memory is left.
+var ErrNoMemory = errors.New("no memory left for the body")
+
 const bodyTooLarge = "body too large"
--- a/tier/run.go
+++ b/tier/run.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sv := &http.Server{Addr: address, Handler: ha, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxAPIHeaderBytes}
+	sv := &http.Server{Addr: address, Handler: ha, ReadHeaderTimeout: apiHeaderTimeout, ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxAPIHeaderBytes}
 	sp.Add(service{name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = sv.Close() })
 		defer stop()
@@ -165,6 +165,7 @@
 // Limits of the HTTP servers for operators, backend servers and address look-ups.
 const (
 	apiHeaderTimeout  = 5 * time.Second
+	apiReadTimeout    = 30 * time.Second // with the body
 	apiIdleTimeout    = 30 * time.Second
 	maxAPIHeaderBytes = 16 << 10
 	maxAPIBodyBytes   = 8 << 20
