registry: bound the bytes of a catalog

Change: the texts of a catalog have at most 2 MiB, those of leaves 1 MiB; new ids find no room then, known ones stay. Evidence: TestCatalogBoundsItsBytes.

--- a/registry/boundedmap.go
+++ b/registry/boundedmap.go
@@ -8,9 +8,12 @@
 // boundedMap maps ids to values. Beyond its maximum size it evicts the values that were
 // put first.
 type boundedMap[V any] struct {
-	maxSize int
-	byID    map[string]*list.Element
-	order   *list.List // *boundedEntry[V], the last put at the back
+	maxSize  int
+	maxBytes int // bounds the sum of bytes over the values; 0 if bytes is nil
+	bytes    func(value V) int
+	numBytes int
+	byID     map[string]*list.Element
+	order    *list.List // *boundedEntry[V], the last put at the back
 }
 
 type boundedEntry[V any] struct {
@@ -23,6 +26,12 @@
 	return &boundedMap[V]{maxSize: maxSize, byID: make(map[string]*list.Element), order: list.New()}
 }
 
+// withMaxBytes bounds the sum of a size over the values, too.
+func (bm *boundedMap[V]) withMaxBytes(maxBytes int, bytes func(value V) int) *boundedMap[V] {
+	bm.maxBytes, bm.bytes = maxBytes, bytes
+	return bm
+}
+
 func (bm *boundedMap[V]) get(id string) (V, bool) {
 	el, ok := bm.byID[id]
 	if !ok {
@@ -35,7 +44,10 @@
 func (bm *boundedMap[V]) put(at time.Duration, id string, value V) {
 	bm.remove(id)
 	bm.byID[id] = bm.order.PushBack(&boundedEntry[V]{id: id, at: at, value: value})
-	for len(bm.byID) > bm.maxSize {
+	if bm.bytes != nil {
+		bm.numBytes += bm.bytes(value)
+	}
+	for len(bm.byID) > bm.maxSize || bm.numBytes > bm.maxBytes {
 		bm.evictOldest()
 	}
 }
@@ -43,6 +55,9 @@
 func (bm *boundedMap[V]) remove(id string) {
 	if el, ok := bm.byID[id]; ok {
 		bm.order.Remove(el)
+		if bm.bytes != nil {
+			bm.numBytes -= bm.bytes(el.Value.(*boundedEntry[V]).value)
+		}
 		delete(bm.byID, id)
 	}
 }
--- a/registry/catalog.go
+++ b/registry/catalog.go
@@ -12,8 +12,13 @@
 const (
 	// maxServers bounds the servers in a catalog.
 	maxServers = 10000
-	// maxLeft bounds the ids that a catalog remembers as having left.
-	maxLeft = 10000
+	// maxServerBytes bounds the texts of all servers in a catalog, so that a snapshot of it fits
+	// the send queue of a link with room for the changes after it.
+	maxServerBytes = 2 << 20
+	// maxLeft bounds the ids that a catalog remembers as having left, and maxLeftBytes their
+	// texts.
+	maxLeft      = 10000
+	maxLeftBytes = 1 << 20
 	// leftTTL is how long a catalog remembers that an id has left.
 	leftTTL = 10 * time.Minute
 	// leftRecordsTTL is how long Records includes an id that has left.
@@ -35,6 +40,7 @@
 	left         *boundedMap[Server]
 	numSeen      uint64 // number of incarnations first heard
 	numWithStart int    // number of servers that announce their start time
+	bytes        int    // length of the texts of all servers
 }
 
 // announcedServer is a server that announces itself.
@@ -51,7 +57,7 @@
 		silenceTimeout: silenceTimeout,
 		clock:          runningClock{maxGap: silenceTimeout / 2},
 		servers:        make(map[string]*announcedServer),
-		left:           newBoundedMap[Server](maxLeft),
+		left:           newBoundedMap[Server](maxLeft).withMaxBytes(maxLeftBytes, Server.textBytes),
 	}
 }
 
@@ -85,6 +91,11 @@
 	case se.Born < as.server.Born || se.Sequence <= as.server.Sequence:
 		return false
 	}
+	if more := se.textBytes() - as.server.textBytes(); more <= 0 || ct.bytes+more <= maxServerBytes {
+		ct.bytes += more
+	} else {
+		return false
+	}
 	as.announcedAt = at
 	se.State = max(se.State, as.server.State)
 	changed = !se.sameContent(as.server)
@@ -121,9 +132,10 @@
 }
 
 func (ct *Catalog) add(at time.Duration, se Server) bool {
-	if len(ct.servers) >= maxServers {
+	if len(ct.servers) >= maxServers || ct.bytes+se.textBytes() > maxServerBytes {
 		return false
 	}
+	ct.bytes += se.textBytes()
 	ct.numSeen++
 	ct.servers[se.ID] = &announcedServer{server: se, order: ct.numSeen, announcedAt: at}
 	if se.Born != 0 {
@@ -138,6 +150,7 @@
 		if as.server.Born != 0 {
 			ct.numWithStart--
 		}
+		ct.bytes -= as.server.textBytes()
 		delete(ct.servers, id)
 	}
 }
@@ -160,8 +173,8 @@
 
 // Leave records that a server has left, whichever incarnation of it is known, and reports
 // whether that is a change. The id is remembered as Gone for 10 minutes, even if it was
-// never heard, so that a late announcement changes nothing; beyond 10000 such ids the
-// oldest are forgotten.
+// never heard, so that a late announcement changes nothing; beyond 10000 such ids or
+// 1 MiB of texts the oldest are forgotten.
 func (ct *Catalog) Leave(now time.Time, id string) (changed bool) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
--- a/registry/server.go
+++ b/registry/server.go
@@ -86,6 +86,11 @@
 	return nil
 }
 
+// textBytes returns the length of the texts.
+func (se Server) textBytes() int {
+	return len(se.ID) + len(se.Service) + len(se.Address) + len(se.DataCentre) + len(se.Version)
+}
+
 // sameContent reports whether two announcements differ at most in the sequence and the
 // remaining warm-up. Those change with each announcement and need not be published; only
 // the end of the warm-up must be.
--- a/registry/server_test.go
+++ b/registry/server_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -8,6 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
+
+	"balsamwinch.example/codec"
+	"balsamwinch.example/identifier"
 )
 
 var fullServer = Server{
@@ -128,3 +132,27 @@
 	un.Apply(t0, "one", []Change{{Server: bad}, {Server: leaving}, {Server: Server{ID: bad.ID}, Dropped: true}})
 	c.Assert(un.Servers(), qt.DeepEquals, map[string][]Server{good.Service: {good}})
 }
+
+// Guards against a snapshot that is too large to be sent: a writer that invents names must not
+// make a catalog outgrow a message, and a server that was heard before must stay.
+func TestCatalogBoundsItsBytes(t *testing.T) {
+	c := qt.New(t)
+	ct := NewCatalog(testSilenceTimeout)
+	c.Assert(ct.Announce(t0, ready("first", 1)), qt.IsTrue)
+	for ix := range 2 * maxServers {
+		se := ready(fmt.Sprintf("%0250d", ix), 1)
+		se.Version, se.DataCentre = strings.Repeat("v", identifier.MaxBytes), strings.Repeat("d", identifier.MaxBytes)
+		ct.Announce(t0, se)
+		ct.Leave(t0, fmt.Sprintf("left-%0200d", ix))
+	}
+	data, err := codec.Marshal(ct.Records(t0))
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(data) < 4<<20, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	c.Assert(ct.Announce(t0, draining("first", 2)), qt.IsTrue)
+	growing := ready("first", 3)
+	growing.Version = strings.Repeat("v", identifier.MaxBytes)
+	ct.Announce(t0, growing)
+	ct.Expire(t0.Add(testSilenceTimeout / 2))
+	ct.Expire(t0.Add(testSilenceTimeout))
+	c.Assert([]int{len(ct.servers), ct.bytes}, qt.DeepEquals, []int{0, 0})
+}
