leaf: count the connections that a fault made silent

Cause: the script reads how many connections are silent now. Change: the script reads how many connections the last fault made silent, with the same bounds.

--- a/leaf/counts.go
+++ b/leaf/counts.go
@@ -26,6 +26,7 @@
 	Accepted           int // connections accepted since the start
 	OverLimit          int // connections closed because of the limit
 	SilentConnections  int // open connections that went silent
+	LastSilenced       int // connections that the last fault Silent made silent
 	RefusedAfterNotice int // requests that arrived while draining
 
 	Announced        int // announcements that an instance accepted
--- a/leaf/listener.go
+++ b/leaf/listener.go
@@ -70,9 +70,13 @@
 func (ln *listener) silence(held bool) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
+	ln.tl.update(func(co *Counts) { co.LastSilenced = 0 })
 	for sc := range ln.conns {
 		if sc.silence(held) {
-			ln.tl.update(func(co *Counts) { co.SilentConnections++ })
+			ln.tl.update(func(co *Counts) {
+				co.SilentConnections++
+				co.LastSilenced++
+			})
 		}
 	}
 }
