--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -51,7 +52,7 @@
 					pc.end(wa.reset)
 				})
 				for cut := range len(fr.reply) {
-					cl := newClient(qc, Config{})
+					cl := newClient(qc, Config{DialTimeout: time.Minute})
 					if wa.kept {
 						checkAnswered(qc, cl.Do(testContext(t), ta, newGet()), true)
 					}
@@ -102,7 +103,7 @@
 		pc.end(false)
 	})
 	for cut := range len(second) {
-		cl := newClient(qc, Config{})
+		cl := newClient(qc, Config{DialTimeout: time.Minute})
 		for range 2 {
 			rq := newGet()
 			rq.Header.Set("Cut", strconv.Itoa(cut))
--- a/upstream/memory_test.go
+++ b/upstream/memory_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -33,7 +34,7 @@
 		}
 	})
 	ta.MaxConnections = endless + whole
-	cl := newClient(qc, Config{BodyMemory: limit})
+	cl := newClient(qc, Config{BodyMemory: limit, DialTimeout: time.Minute})
 	var wg sync.WaitGroup
 	for range endless {
 		wg.Go(func() {
