backend: names of an announcement have no control characters

A name with a terminal sequence or a line break was accepted with 200, and is what operators see in reports. Change: package identifier checks names, data centre and labels; the announcement gets 422 with the field. Evidence: two cases of TestAnnouncementReplies, both accepted with the earlier check.

--- a/backend/announce_test.go
+++ b/backend/announce_test.go
@@ -42,6 +42,8 @@
 		{http.MethodPost, with(`"Serving"`, `"Busy"`)},
 		{http.MethodPost, with(`[{`, `[{"Shard":"a","Snapshot":{"Partition":1,"Version":1}},{`)},
 		{http.MethodPost, with(`"r1"`, `"`+strings.Repeat("x", 200)+`"`)},
+		{http.MethodPost, with(`"r1"`, `"r\u001b[2J"`)},
+		{http.MethodPost, with(`"sv"`, `"s\r\nv"`)},
 		{http.MethodPost, `{}`},
 		{http.MethodPost, with(`"sv"`, `"`+strings.Repeat("x", 1<<20)+`"`)},
 	} {
--- a/backend/check.go
+++ b/backend/check.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"balsamwinch.example/identifier"
 )
 
 // Limits for the contents of an announced Record.
@@ -40,6 +42,14 @@
 func (rc *recordChecker) checkName(field, na string) {
 	ok := na != "" && len(na) <= maxNameBytes
 	rc.require(ok, field, fmt.Sprintf("a name of 1 to %d bytes", maxNameBytes), fmt.Sprintf("%d bytes", len(na)))
+	rc.checkText(field, na)
+}
+
+// checkText checks that a text can be printed: operators see it in reports.
+func (rc *recordChecker) checkText(field, te string) {
+	if len(te) <= maxNameBytes {
+		rc.require(identifier.CheckOptional(field, te) == nil, field, "UTF-8 without control characters and spaces at its ends", fmt.Sprintf("%q", te))
+	}
 }
 
 func (rc *recordChecker) checkRange(field string, value, lo, hi int64) {
@@ -52,6 +62,7 @@
 	rc.checkName("Server", re.Server)
 	rc.checkName("Service", re.Service)
 	rc.require(len(re.DataCentre) <= maxNameBytes, "DataCentre", fmt.Sprintf("at most %d bytes", maxNameBytes), len(re.DataCentre))
+	rc.checkText("DataCentre", re.DataCentre)
 	rc.checkAddress(re.Address)
 	rc.checkLabels(re.Labels)
 	rc.require(re.Incarnation > 0, "Incarnation", "a number from 1", re.Incarnation)
@@ -75,6 +86,8 @@
 	want := fmt.Sprintf("a key, with its value of at most %d bytes", maxNameBytes)
 	for _, ke := range slices.Sorted(maps.Keys(la)) {
 		rc.require(ke != "" && len(ke)+len(la[ke]) <= maxNameBytes, "Labels", want, fmt.Sprintf("%d bytes", len(ke)+len(la[ke])))
+		rc.checkText("Labels", ke)
+		rc.checkText("Labels", la[ke])
 	}
 }
 
