registry: a known server stays when a catalog has no room for its texts

Cause: a longer text of a known server, or its restart, found no room in a full catalog, and the announcement was dropped as a whole, so that the server fell silent there. Change: the record keeps its earlier texts; a new incarnation without room leaves the old one. Evidence: TestCatalogBoundsItsBytes, extended.

--- a/feed/announcements.go
+++ b/feed/announcements.go
@@ -21,8 +21,9 @@
 }
 
 // Announce records a backend server's announcement of itself, which came from the given
-// address. One that changes nothing is not published. If the server says that it departs, departure is the number to pass to
-// AwaitStored, which covers this departure and all earlier ones; otherwise it is 0.
+// address. One that changes nothing is not published. If the server says that it departs,
+// departure is the number to pass to AwaitStored, which covers this departure and all earlier
+// ones; otherwise it is 0.
 func (pu *Publisher) Announce(se registry.Server, from string) (departure uint64) {
 	now := pu.ts.Now()
 	pu.mu.Lock()
--- a/registry/catalog.go
+++ b/registry/catalog.go
@@ -65,7 +65,7 @@
 // informed; a change of only the sequence or the remaining warm-up doesn't count. It
 // ignores a server that Check rejects, an incarnation that has left, a sequence that isn't
 // higher than the one before, an Implausible announcement and, if the catalog is full,
-// new ids. A Draining incarnation stays so, whatever it announces later. Gone acts as
+// new ids and longer texts. A Draining incarnation stays so, whatever it announces later. Gone acts as
 // Leave of that incarnation and earlier ones.
 //
 // A later incarnation replaces the earlier one completely. If only the id counted, a
@@ -91,11 +91,10 @@
 	case se.Born < as.server.Born || se.Sequence <= as.server.Sequence:
 		return false
 	}
-	if more := se.textBytes() - as.server.textBytes(); more <= 0 || ct.bytes+more <= maxServerBytes {
-		ct.bytes += more
-	} else {
-		return false
+	if !ct.hasRoom(se, as.server) {
+		se.Service, se.Address, se.DataCentre, se.Version = as.server.Service, as.server.Address, as.server.DataCentre, as.server.Version
 	}
+	ct.bytes += se.textBytes() - as.server.textBytes()
 	as.announcedAt = at
 	se.State = max(se.State, as.server.State)
 	changed = !se.sameContent(as.server)
@@ -103,9 +102,19 @@
 	return changed
 }
 
+// hasRoom reports whether the texts of a record fit in place of those of another one, which is
+// empty for none.
+func (ct *Catalog) hasRoom(se, was Server) bool {
+	more := se.textBytes() - was.textBytes()
+	return more <= 0 || ct.bytes+more <= maxServerBytes
+}
+
 // addIncarnation adds an incarnation not heard before, in place of the earlier one of its
 // id.
 func (ct *Catalog) addIncarnation(at time.Duration, se Server) bool {
+	if as, ok := ct.servers[se.ID]; ok && !ct.hasRoom(se, as.server) {
+		return false
+	}
 	ct.remove(se.ID)
 	if !ct.add(at, se) {
 		return false
@@ -132,7 +141,7 @@
 }
 
 func (ct *Catalog) add(at time.Duration, se Server) bool {
-	if len(ct.servers) >= maxServers || ct.bytes+se.textBytes() > maxServerBytes {
+	if len(ct.servers) >= maxServers || !ct.hasRoom(se, Server{}) {
 		return false
 	}
 	ct.bytes += se.textBytes()
--- a/registry/server_test.go
+++ b/registry/server_test.go
@@ -151,8 +151,11 @@
 	c.Assert(ct.Announce(t0, draining("first", 2)), qt.IsTrue)
 	growing := ready("first", 3)
 	growing.Version = strings.Repeat("v", identifier.MaxBytes)
-	ct.Announce(t0, growing)
+	ct.Announce(t0.Add(testSilenceTimeout/4), growing)
+	c.Assert(ct.servers["first"].server.Version, qt.Equals, "")
 	ct.Expire(t0.Add(testSilenceTimeout / 2))
 	ct.Expire(t0.Add(testSilenceTimeout))
+	c.Assert(ct.servers, qt.HasLen, 1)
+	ct.Expire(t0.Add(5 * testSilenceTimeout / 4))
 	c.Assert([]int{len(ct.servers), ct.bytes}, qt.DeepEquals, []int{0, 0})
 }
