--- a/emulate/soak/foreign.go
+++ b/emulate/soak/announce.go
@@ -12,21 +12,21 @@
 	"balsamwinch.example/registry"
 )
 
-// foreignInterval is the time between two calls to a control instance by a writer that is no
+// invalidInterval is the time between two calls to a control instance by a writer that is no
 // backend server.
-const foreignInterval = 10 * time.Millisecond
+const invalidInterval = 10 * time.Millisecond
 
-// foreignWords sends announcements and leaves that no backend server can have sent to each
+// announceInvalid sends announcements and leaves that no backend server can have sent to each
 // control instance. The error names one that was acknowledged.
-func (ij *injector) foreignWords(ctx context.Context, fa Fault) error {
+func (ij *injector) announceInvalid(ctx context.Context, fa Fault) error {
 	ctx, cancel := context.WithTimeout(ctx, fa.For)
 	defer cancel()
 	return concurrently(ij.lo.ControlAddresses(), func(address string) error {
 		rd := rand.New(rand.NewPCG(uint64(fa.At), uint64(fa.For)))
 		co := emulate.NewControlClient([]string{address})
 		defer co.Close()
-		for ij.ts.Sleep(ctx, foreignInterval) == nil {
-			if se := drawForeign(rd, ij.cf.plainServices()); sendForeign(ctx, co, se) == nil {
+		for ij.ts.Sleep(ctx, invalidInterval) == nil {
+			if se := drawInvalid(rd, ij.cf.plainServices()); sendInvalidAnnouncement(ctx, co, se) == nil {
 				return fmt.Errorf("acknowledged %.200q", fmt.Sprint(se))
 			}
 		}
@@ -34,21 +34,21 @@
 	})
 }
 
-func sendForeign(ctx context.Context, co *emulate.ControlClient, se registry.Server) error {
+func sendInvalidAnnouncement(ctx context.Context, co *emulate.ControlClient, se registry.Server) error {
 	if se.State == registry.Gone {
 		return co.Leave(ctx, se.ID)
 	}
 	return co.Announce(ctx, se)
 }
 
-// drawForeign draws a record that Check rejects.
-func drawForeign(rd *rand.Rand, services []string) registry.Server {
+// drawInvalid draws a record that Check rejects.
+func drawInvalid(rd *rand.Rand, services []string) registry.Server {
 	for {
 		se := registry.Server{
-			ID: fmt.Sprintf("foreign-%d", rd.IntN(10)), Service: services[rd.IntN(len(services))], Address: "127.0.0.1:9",
+			ID: fmt.Sprintf("invalid-%d", rd.IntN(10)), Service: services[rd.IntN(len(services))], Address: "127.0.0.1:9",
 			DataCentre: "miraflores", Version: "v1", Slots: 1 + rd.IntN(8), State: registry.State(rd.IntN(3)), Sequence: rd.Uint64N(1000), Born: 1 + rd.Int64N(1e12),
 		}
-		word := drawWord(rd)
+		word := drawText(rd)
 		switch rd.IntN(6) {
 		case 0:
 			se.Service = word
@@ -71,8 +71,8 @@
 	}
 }
 
-// drawWord draws bytes of any kind and length.
-func drawWord(rd *rand.Rand) string {
+// drawText draws bytes of any kind and length.
+func drawText(rd *rand.Rand) string {
 	switch rd.IntN(4) {
 	case 0:
 		bs := make([]byte, 1+rd.IntN(40))
--- a/emulate/soak/injector.go
+++ b/emulate/soak/injector.go
@@ -97,8 +97,8 @@
 		return ij.operatorFault(ctx, fa)
 	case componentDataCentre:
 		return ij.evacuate(ctx, fa)
-	case componentWriter:
-		return ij.foreignWords(ctx, fa)
+	case componentAnnouncer:
+		return ij.announceInvalid(ctx, fa)
 	}
 	switch fa.Kind {
 	case ServerCrash, ServiceCrash:
--- a/emulate/soak/schedule.go
+++ b/emulate/soak/schedule.go
@@ -11,36 +11,36 @@
 
 // The kinds of faults.
 const (
-	ControlStop   Kind = "ControlStop"   // stops a control instance gracefully and restarts it
-	ControlKill   Kind = "ControlKill"   // kills a control instance and restarts it
-	ControlLose   Kind = "ControlLose"   // kills a control instance and restarts it without its data
-	ControlAll    Kind = "ControlAll"    // kills all control instances and restarts them
-	EntryStop     Kind = "EntryStop"     // stops an entry instance gracefully and replaces it
-	EntryKill     Kind = "EntryKill"     // kills an entry instance and replaces it
-	ServerCrash   Kind = "ServerCrash"   // crashes a backend server; a new one takes its address
-	ServerSilent  Kind = "ServerSilent"  // makes a server accept requests and never respond
-	ServerSlow    Kind = "ServerSlow"    // makes a server several times slower
-	ServerShed    Kind = "ServerShed"    // makes a server reject some requests
-	ServerHalt    Kind = "ServerHalt"    // pauses a server
-	ReplyTwice    Kind = "ReplyTwice"    // sends some responses twice
-	ReplyLate     Kind = "ReplyLate"     // delays some responses
-	ReplyCut      Kind = "ReplyCut"      // truncates some responses, or sends none, or invalid bytes
-	ReplyOther    Kind = "ReplyOther"    // answers some requests with the response to another one
-	ServerDrain   Kind = "ServerDrain"   // replaces a server, which drains gracefully
-	ServerReplace Kind = "ServerReplace" // crashes a server; its address goes to one of another service
-	ServiceCrash  Kind = "ServiceCrash"  // crashes all servers of a service; new ones take their addresses
-	ServiceShed   Kind = "ServiceShed"   // makes all servers of a service reject all requests
-	Repartition   Kind = "Repartition"   // gives all shards new services, then drains the old servers
-	ConfigBurst   Kind = "ConfigBurst"   // sends several configurations without a delay in between
-	ConfigTwo     Kind = "ConfigTwo"     // two operators send different versions concurrently
-	ConfigAgain   Kind = "ConfigAgain"   // sends the latest acknowledged configuration again
-	ConfigInvalid Kind = "ConfigInvalid" // sends a configuration that must be rejected
-	ServerAgain   Kind = "ServerAgain"   // crashes a backend server and restarts it under its ID
-	RequestFatal  Kind = "RequestFatal"  // repeats a request that crashes each server that runs it
-	Evacuate      Kind = "Evacuate"      // evacuates a data centre and withdraws the evacuation
-	ControlHang   Kind = "ControlHang"   // suspends a control instance with its connections open
-	LeaveKill     Kind = "LeaveKill"     // a server leaves; the control instance that acknowledged it is killed at once, in half of the cases without its data
-	ForeignWords  Kind = "ForeignWords"  // sends announcements that no backend server can have sent
+	ControlStop     Kind = "ControlStop"     // stops a control instance gracefully and restarts it
+	ControlKill     Kind = "ControlKill"     // kills a control instance and restarts it
+	ControlLose     Kind = "ControlLose"     // kills a control instance and restarts it without its data
+	ControlAll      Kind = "ControlAll"      // kills all control instances and restarts them
+	EntryStop       Kind = "EntryStop"       // stops an entry instance gracefully and replaces it
+	EntryKill       Kind = "EntryKill"       // kills an entry instance and replaces it
+	ServerCrash     Kind = "ServerCrash"     // crashes a backend server; a new one takes its address
+	ServerSilent    Kind = "ServerSilent"    // makes a server accept requests and never respond
+	ServerSlow      Kind = "ServerSlow"      // makes a server several times slower
+	ServerShed      Kind = "ServerShed"      // makes a server reject some requests
+	ServerHalt      Kind = "ServerHalt"      // pauses a server
+	ReplyTwice      Kind = "ReplyTwice"      // sends some responses twice
+	ReplyLate       Kind = "ReplyLate"       // delays some responses
+	ReplyCut        Kind = "ReplyCut"        // truncates some responses, or sends none, or invalid bytes
+	ReplyOther      Kind = "ReplyOther"      // answers some requests with the response to another one
+	ServerDrain     Kind = "ServerDrain"     // replaces a server, which drains gracefully
+	ServerReplace   Kind = "ServerReplace"   // crashes a server; its address goes to one of another service
+	ServiceCrash    Kind = "ServiceCrash"    // crashes all servers of a service; new ones take their addresses
+	ServiceShed     Kind = "ServiceShed"     // makes all servers of a service reject all requests
+	Repartition     Kind = "Repartition"     // gives all shards new services, then drains the old servers
+	ConfigBurst     Kind = "ConfigBurst"     // sends several configurations without a delay in between
+	ConfigTwo       Kind = "ConfigTwo"       // two operators send different versions concurrently
+	ConfigAgain     Kind = "ConfigAgain"     // sends the latest acknowledged configuration again
+	ConfigInvalid   Kind = "ConfigInvalid"   // sends a configuration that must be rejected
+	ServerAgain     Kind = "ServerAgain"     // crashes a backend server and restarts it under its ID
+	RequestFatal    Kind = "RequestFatal"    // repeats a request that crashes each server that runs it
+	Evacuate        Kind = "Evacuate"        // evacuates a data centre and withdraws the evacuation
+	ControlHang     Kind = "ControlHang"     // suspends a control instance with its connections open
+	LeaveKill       Kind = "LeaveKill"       // a server leaves; the control instance that acknowledged it is killed at once, in half of the cases without its data
+	AnnounceInvalid Kind = "AnnounceInvalid" // sends announcements that no backend server can have sent
 )
 
 // Kinds returns all kinds.
@@ -50,7 +50,7 @@
 		ServerCrash, ServerSilent, ServerSlow, ServerShed, ServerHalt,
 		ReplyTwice, ReplyLate, ReplyCut, ReplyOther, ServerDrain, ServerReplace, ServiceCrash, ServiceShed,
 		Repartition, ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid,
-		ServerAgain, ControlHang, RequestFatal, Evacuate, LeaveKill, ForeignWords, // Appended, so that existing seeds draw the same faults as before.
+		ServerAgain, ControlHang, RequestFatal, Evacuate, LeaveKill, AnnounceInvalid, // Appended, so that existing seeds draw the same faults as before.
 	}
 }
 
@@ -65,7 +65,7 @@
 	componentOperator
 	componentRequest
 	componentDataCentre
-	componentWriter
+	componentAnnouncer
 )
 
 func (ki Kind) component() component {
@@ -80,8 +80,8 @@
 		return componentRequest
 	case Evacuate:
 		return componentDataCentre
-	case ForeignWords:
-		return componentWriter
+	case AnnounceInvalid:
+		return componentAnnouncer
 	case ConfigBurst, ConfigTwo, ConfigAgain, ConfigInvalid:
 		return componentOperator
 	default:
@@ -211,7 +211,7 @@
 			continue
 		}
 		switch fa.Kind.component() {
-		case componentShards, componentRequest, componentDataCentre, componentWriter:
+		case componentShards, componentRequest, componentDataCentre, componentAnnouncer:
 			return false
 		case componentEntry:
 			entries++
--- a/emulate/soak/schedule_test.go
+++ b/emulate/soak/schedule_test.go
@@ -62,7 +62,7 @@
 // violation returns what is wrong with a fault that comes after others; empty if nothing
 // is.
 func violation(cf Settings, fa Fault, before []Fault) string {
-	target := map[component]int{componentControl: cf.Tier.Controls, componentEntry: cf.Tier.Entries, componentServer: cf.numPositions(), componentShards: 1, componentOperator: 1, componentRequest: 1, componentDataCentre: len(cf.Tier.DataCentres), componentWriter: 1}
+	target := map[component]int{componentControl: cf.Tier.Controls, componentEntry: cf.Tier.Entries, componentServer: cf.numPositions(), componentShards: 1, componentOperator: 1, componentRequest: 1, componentDataCentre: len(cf.Tier.DataCentres), componentAnnouncer: 1}
 	switch {
 	case cf.Faults.Weights[fa.Kind] == 0:
 		return "its kind has no weight"
@@ -90,8 +90,8 @@
 			return "two repartitions at once"
 		case same && fa.Kind.component() == componentDataCentre:
 			return "two evacuations at once"
-		case same && fa.Kind.component() == componentWriter:
-			return "two foreign writers at once"
+		case same && fa.Kind.component() == componentAnnouncer:
+			return "two such writers at once"
 		}
 		if same && (fa.Kind.component() == componentEntry || fa.Kind.component() == componentServer) && slices.ContainsFunc(affectedPositions(cf, fa), func(ta int) bool { return slices.Contains(affectedPositions(cf, other), ta) }) {
 			return "its target has a fault"
@@ -136,9 +136,9 @@
 }
 
 // Every drawn record must be one that Check rejects, also as JSON carries it.
-func TestDrawForeign(t *testing.T) {
+func TestDrawInvalid(t *testing.T) {
 	for seed := range uint64(20000) {
-		se := drawForeign(rand.New(rand.NewPCG(seed, 0)), []string{"s"})
+		se := drawInvalid(rand.New(rand.NewPCG(seed, 0)), []string{"s"})
 		data, err := json.Marshal(se)
 		qt.Assert(t, err, qt.IsNil)
 		sent := registry.Server{}
--- a/tier/foreign_test.go
+++ b/tier/announce_test.go
@@ -15,35 +15,35 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// foreignCall is a call of a writer that is no backend server.
-type foreignCall struct{ method, id, body string }
+// invalidCall is a call of a writer that is no backend server.
+type invalidCall struct{ method, id, body string }
 
-const foreignBody = `{"service":"s1","address":"127.0.0.1:9","zone":"north","version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"seq":1}`
+const invalidBody = `{"service":"s1","address":"127.0.0.1:9","zone":"north","version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"seq":1}`
 
-// foreignCalls are calls whose words can't be stored, sent or written as they are.
-func foreignCalls() []foreignCall {
+// invalidCalls are calls whose texts or numbers can't be used.
+func invalidCalls() []invalidCall {
 	long := strings.Repeat("x", 12<<10)
-	return []foreignCall{
-		{http.MethodPut, "i-%ff", foreignBody},
-		{http.MethodPut, "i-%c3%28", strings.Replace(foreignBody, "ready", "draining", 1)},
-		{http.MethodPut, "i-%0d%0aX:%20y", foreignBody},
-		{http.MethodPut, "i-%00", foreignBody},
-		{http.MethodPut, "i-" + long, foreignBody},
-		{http.MethodPut, "i-version", strings.Replace(foreignBody, `"v1"`, `"`+strings.Repeat(long, 20)+`"`, 1)},
-		{http.MethodPut, "i-zone", strings.Replace(foreignBody, `"north"`, `"a\r\nb"`, 1)},
-		{http.MethodPut, "i-slots", strings.Replace(foreignBody, `:4,`, `:9223372036854775807,`, 1)},
-		{http.MethodPut, "i-warm-up", strings.Replace(foreignBody, `:0,`, `:9223372036854775807,`, 1)},
+	return []invalidCall{
+		{http.MethodPut, "i-%ff", invalidBody},
+		{http.MethodPut, "i-%c3%28", strings.Replace(invalidBody, "ready", "draining", 1)},
+		{http.MethodPut, "i-%0d%0aX:%20y", invalidBody},
+		{http.MethodPut, "i-%00", invalidBody},
+		{http.MethodPut, "i-" + long, invalidBody},
+		{http.MethodPut, "i-version", strings.Replace(invalidBody, `"v1"`, `"`+strings.Repeat(long, 20)+`"`, 1)},
+		{http.MethodPut, "i-zone", strings.Replace(invalidBody, `"north"`, `"a\r\nb"`, 1)},
+		{http.MethodPut, "i-slots", strings.Replace(invalidBody, `:4,`, `:9223372036854775807,`, 1)},
+		{http.MethodPut, "i-warm-up", strings.Replace(invalidBody, `:0,`, `:9223372036854775807,`, 1)},
 		{http.MethodDelete, "i-%fe", ""},
 		{http.MethodDelete, "i-" + long, ""},
 	}
 }
 
-// writeForeign sends the calls to all control instances until the context ends.
-func (cl *cluster) writeForeign(ctx context.Context) {
+// announceInvalid sends the calls to all control instances until the context ends.
+func (cl *cluster) announceInvalid(ctx context.Context) {
 	tk := time.NewTicker(announceInterval / 2)
 	defer tk.Stop()
 	for {
-		for _, fc := range foreignCalls() {
+		for _, fc := range invalidCalls() {
 			for _, co := range cl.controls {
 				cl.call(fc.method, co.se.Listen.Control, "/instances/"+fc.id, []byte(fc.body))
 			}
@@ -56,16 +56,16 @@
 	}
 }
 
-// startForeignWriter starts writeForeign and returns once each call was sent.
-func (cl *cluster) startForeignWriter() {
+// startInvalidAnnouncer starts announceInvalid and returns once each call was sent.
+func (cl *cluster) startInvalidAnnouncer() {
 	ctx, cancel := context.WithCancel(cl.ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { cl.writeForeign(ctx) })
+	wg.Go(func() { cl.announceInvalid(ctx) })
 	cl.t.Cleanup(func() {
 		cancel()
 		wg.Wait()
 	})
-	for _, fc := range foreignCalls() {
+	for _, fc := range invalidCalls() {
 		for _, co := range cl.controls {
 			cl.call(fc.method, co.se.Listen.Control, "/instances/"+fc.id, []byte(fc.body))
 		}
@@ -74,7 +74,7 @@
 
 // Guards against a request that another writer hides in the ID of an announcement: it would
 // run at the address that the announcement names, though no caller sent it.
-func TestForeignIDSmugglesNoRequest(t *testing.T) {
+func TestInvalidIDSmugglesNoRequest(t *testing.T) {
 	cl := newCluster(t, 3, 2)
 	be := cl.startServers("s1", 1)[0]
 	cl.configure(config(1, "s1", "/first/"), cl.controls...)
@@ -82,7 +82,7 @@
 		cl.await("the backend server serves", func() bool { return cl.get(en, "/one/a").status == http.StatusOK })
 	}
 	id := "x\r\n\r\nGET /one/hidden HTTP/1.1\r\nHost: a.example\r\nBalsamwinch-Request-Id: hidden\r\nBalsamwinch-Expect-Instance: " + be.id
-	announcement := strings.Replace(foreignBody, "127.0.0.1:9", be.hs.Listener.Addr().String(), 1)
+	announcement := strings.Replace(invalidBody, "127.0.0.1:9", be.hs.Listener.Addr().String(), 1)
 	for _, co := range cl.controls {
 		status, _ := cl.call(http.MethodPut, co.se.Listen.Control, "/instances/"+url.PathEscape(id), []byte(announcement))
 		qt.Check(t, status, qt.Equals, http.StatusBadRequest)
@@ -96,9 +96,9 @@
 	}
 }
 
-// Guards against a word of one writer that ends the links of all: a configuration must come
+// Guards against a text of one writer that ends the links of all: a configuration must come
 // into force at each entry instance, also after a restart of the control instances.
-func TestForeignWordsKeepLinks(t *testing.T) {
+func TestInvalidAnnouncementsKeepLinks(t *testing.T) {
 	lines, logs := observer.New(zapcore.InfoLevel)
 	cl := newCluster(t, 3, 2, func(in *instance) { in.lg = zap.New(lines) })
 	for _, service := range []string{"s1", "s2", "p1", "p2", "p3"} {
@@ -110,7 +110,7 @@
 		cl.awaitControlLinks(en)
 	}
 	logs.TakeAll()
-	cl.startForeignWriter()
+	cl.startInvalidAnnouncer()
 	cl.configure(config(2, "s2", "/second/"), cl.controls...)
 	for _, en := range cl.entries {
 		cl.awaitInForce(en, "s2", "/second/a", "/first/a")
