memory: one budget for bodies of replies and of calls

Cause: read again as a newcomer, the change had two counters for the same thing, in upstream and tier, a copying loop with a twin in feed, a check of names beside the one of package identifier, and a field of the soak that follows from another. Change: package memory has the budget, and a body of a call gets its share as a reply does; feed removes invalid records with slices.DeleteFunc; evacuation.CheckName calls identifier.Check and adds its own rules; the soak derives the newest acknowledged version.

--- a/emulate/soak/announce.go
+++ b/emulate/soak/announce.go
@@ -48,18 +48,18 @@
 			ID: fmt.Sprintf("invalid-%d", rd.IntN(10)), Service: services[rd.IntN(len(services))], Address: "127.0.0.1:9",
 			DataCentre: "miraflores", Version: "v1", Slots: 1 + rd.IntN(8), State: registry.State(rd.IntN(3)), Sequence: rd.Uint64N(1000), Born: 1 + rd.Int64N(1e12),
 		}
-		word := drawText(rd)
+		text := drawText(rd)
 		switch rd.IntN(6) {
 		case 0:
-			se.Service = word
+			se.Service = text
 		case 1:
-			se.Version = word
+			se.Version = text
 		case 2:
-			se.DataCentre = word
+			se.DataCentre = text
 		case 3:
 			se.Slots = 1 << (21 + rd.IntN(40))
 		default:
-			se.ID = word
+			se.ID = text
 		}
 		if identifier.Check("ID", se.ID) != nil {
 			return se
--- a/emulate/soak/checker.go
+++ b/emulate/soak/checker.go
@@ -102,19 +102,16 @@
 	evacuatedSince map[string]time.Time // when control acknowledged the evacuation of a data centre
 	sentVersions   []sentVersion        // in the order of the versions
 	sentData       map[uint64]string
-	acknowledged   uint64
-
-	acknowledgements []acknowledgement
-	control          controlCalm
-
-	entries       map[string]*entryState
-	requests      map[string]*request
-	drainAckedAt  map[string]time.Time
-	resets        map[string]int
-	arrivals      map[string]*serviceArrivals
-	fatalRequests map[string]*fatalRequest // requests that crash servers, by path
-	firsts        int
-	extras        int
+	acknowledged   []acknowledgement
+	control        controlCalm
+	entries        map[string]*entryState
+	requests       map[string]*request
+	drainAckedAt   map[string]time.Time
+	resets         map[string]int
+	arrivals       map[string]*serviceArrivals
+	fatalRequests  map[string]*fatalRequest // requests that crash servers, by path
+	firsts         int
+	extras         int
 }
 
 // entryState is the state of one incarnation of an entry instance.
@@ -216,15 +213,14 @@
 func (ch *Checker) ConfigurationAcknowledged(at time.Time, version uint64) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	ch.acknowledgements = append(ch.acknowledgements, acknowledgement{version, at})
-	ch.acknowledged = max(ch.acknowledged, version)
+	ch.acknowledged = append(ch.acknowledged, acknowledgement{version, at})
 }
 
 // LatestAcknowledged returns the highest version that was acknowledged.
 func (ch *Checker) LatestAcknowledged() uint64 {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	return ch.acknowledged
+	return ch.latestAcknowledged(time.Time{})
 }
 
 // ConfigurationRead checks a configuration that was read: its version must be at least
--- a/emulate/soak/inforce.go
+++ b/emulate/soak/inforce.go
@@ -39,13 +39,19 @@
 	if ch.control.faults > 0 || at.Sub(ch.control.since) < settleTime || at.Sub(en.since) < settleTime {
 		return 0
 	}
-	due := uint64(0)
-	for _, ac := range ch.acknowledgements {
-		if at.Sub(ac.at) > applyDelay {
-			due = max(due, ac.version)
+	return ch.latestAcknowledged(at.Add(-applyDelay))
+}
+
+// latestAcknowledged returns the highest version that was acknowledged before a time; the zero
+// time stands for any.
+func (ch *Checker) latestAcknowledged(before time.Time) uint64 {
+	latest := uint64(0)
+	for _, ac := range ch.acknowledged {
+		if before.IsZero() || ac.at.Before(before) {
+			latest = max(latest, ac.version)
 		}
 	}
-	return due
+	return latest
 }
 
 // checkInForce checks that a response is not of an older version than the one due when its
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -8,8 +8,8 @@
 	"slices"
 	"strings"
 	"unicode"
-	"unicode/utf8"
 
+	"balsamwinch.example/identifier"
 	"balsamwinch.example/result"
 )
 
@@ -83,15 +83,14 @@
 // *result.Error with the code Invalid.
 func CheckName(name string) error {
 	detail := ""
+	err := identifier.Check("Name", name)
 	switch {
-	case name == "":
-		detail = "it is empty"
+	case err != nil:
+		detail = err.Error()
 	case len(name) > MaxNameLength:
 		detail = fmt.Sprintf("it has more than %d bytes", MaxNameLength)
-	case !utf8.ValidString(name):
-		detail = "it isn't UTF-8"
-	case strings.ContainsFunc(name, func(ru rune) bool { return !unicode.IsGraphic(ru) || unicode.IsSpace(ru) || ru == '/' }):
-		detail = "it has a space, a slash or a control character"
+	case strings.ContainsFunc(name, func(ru rune) bool { return unicode.IsSpace(ru) || ru == '/' }):
+		detail = "it has a space or a slash"
 	default:
 		return nil
 	}
--- a/feed/validity.go
+++ b/feed/validity.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -8,40 +9,23 @@
 	"balsamwinch.example/registry"
 )
 
-// validServers returns the records that Check accepts and writes a line for each other one,
-// with a field that says where they come from. Instances of earlier releases sent and saved
-// whatever a backend server announced.
+// validServers removes the records that Check rejects, in place, and writes a line for each, with
+// a field that says where they come from. Instances of earlier releases sent and saved whatever a
+// backend server announced.
 func validServers(now time.Time, ll *limitedLogger, ses []registry.Server, source zap.Field) []registry.Server {
-	for ix, se := range ses {
-		if se.Check() == nil {
-			continue
-		}
-		valid := append([]registry.Server{}, ses[:ix]...)
-		for _, se := range ses[ix:] {
-			if err := se.Check(); err != nil {
-				logInvalid(now, ll, se, err, source)
-				continue
-			}
-			valid = append(valid, se)
-		}
-		return valid
-	}
-	return ses
+	return slices.DeleteFunc(ses, func(se registry.Server) bool { return isInvalid(now, ll, se, source) })
 }
 
 // validChanges is validServers for changes. A drop has only an id, which is just looked up.
 func validChanges(now time.Time, ll *limitedLogger, chs []registry.Change, source zap.Field) []registry.Change {
-	valid := chs[:0]
-	for _, ch := range chs {
-		if err := ch.Server.Check(); err != nil && !ch.Dropped {
-			logInvalid(now, ll, ch.Server, err, source)
-			continue
-		}
-		valid = append(valid, ch)
-	}
-	return valid
+	return slices.DeleteFunc(chs, func(ch registry.Change) bool { return !ch.Dropped && isInvalid(now, ll, ch.Server, source) })
 }
 
-func logInvalid(now time.Time, ll *limitedLogger, se registry.Server, err error, source zap.Field) {
-	ll.info(now, "backend-server-invalid", zap.String("ID", se.ID), source, zap.Error(err))
+// isInvalid reports whether Check rejects a record, and writes a line then.
+func isInvalid(now time.Time, ll *limitedLogger, se registry.Server, source zap.Field) bool {
+	err := se.Check()
+	if err != nil {
+		ll.info(now, "backend-server-invalid", zap.String("ID", se.ID), source, zap.Error(err))
+	}
+	return err != nil
 }
--- a/tier/bodymemory.go
+++ b/tier/bodymemory.go
@@ -3,27 +3,26 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"balsamwinch.example/gateway"
+	"balsamwinch.example/memory"
 )
 
-const (
-	// freeBodyBytes is the part of each body that isn't charged to the memory of all.
-	freeBodyBytes = 64 << 10
-	// apiBodyMemoryDivisor sets the memory for bodies of calls: that of the process divided by
-	// apiBodyMemoryDivisor.
-	apiBodyMemoryDivisor = 8
-)
+// bodyMemoryDivisor sets the memory for bodies of calls, or of replies: that of the process
+// divided by bodyMemoryDivisor.
+const bodyMemoryDivisor = 8
+
+// bodyMemory returns the bytes for the bodies of calls, or of replies, that are held at a time.
+func (se Settings) bodyMemory() int { return se.Limits.MemoryMegabytes << 20 / bodyMemoryDivisor }
 
-// limitBodies bounds the bytes of all bodies that are read at the same time for a handler. A
-// body that finds no room fails with gateway.ErrNoMemory.
-func limitBodies(ha http.Handler, limit int64) http.Handler {
-	used := new(atomic.Int64)
+// limitBodies bounds the bytes of all bodies that a handler reads at the same time. A body that
+// finds no room fails with gateway.ErrNoMemory.
+func limitBodies(ha http.Handler, limit int) http.Handler {
+	bu := memory.New(limit)
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		lb := &limitedBody{ReadCloser: rq.Body, used: used, limit: limit}
+		lb := &limitedBody{ReadCloser: rq.Body, bu: bu}
 		rq.Body = lb
-		defer func() { used.Add(-lb.charged) }()
+		defer func() { bu.Release(lb.held) }()
 		ha.ServeHTTP(wr, rq)
 	})
 }
@@ -31,26 +30,18 @@
 // limitedBody is the body of one call.
 type limitedBody struct {
 	io.ReadCloser
-	used        *atomic.Int64
-	limit       int64
-	read        int64
-	charged     int64
-	outOfMemory bool
+	bu         *memory.Budget
+	read, held int
 }
 
-// Read reads from the body and charges what goes beyond freeBodyBytes.
+// Read reads from the body and charges what was read.
 func (lb *limitedBody) Read(bs []byte) (int, error) {
-	if lb.outOfMemory {
-		return 0, gateway.ErrNoMemory
-	}
 	nu, err := lb.ReadCloser.Read(bs)
-	lb.read += int64(nu)
-	if more := lb.read - freeBodyBytes - lb.charged; more > 0 {
-		lb.charged += more
-		lb.outOfMemory = lb.used.Add(more) > lb.limit
-	}
-	if lb.outOfMemory {
+	lb.read += nu
+	held, ok := lb.bu.Reserve(lb.held, lb.read)
+	if !ok {
 		return 0, gateway.ErrNoMemory
 	}
+	lb.held = held
 	return nu, err
 }
--- a/tier/control.go
+++ b/tier/control.go
@@ -83,7 +83,7 @@
 	}
 	sp := newSupervisor("control", lg)
 	ia := newInstrumentedAPI(co, ts)
-	operators, err := serveHTTP(sp, "operators", se.Listen.Control, limitBodies(di.ControlHandler(ia), int64(se.Limits.MemoryMegabytes<<20/apiBodyMemoryDivisor)))
+	operators, err := serveHTTP(sp, "operators", se.Listen.Control, limitBodies(di.ControlHandler(ia), se.bodyMemory()))
 	if err != nil {
 		return err
 	}
--- a/tier/entry.go
+++ b/tier/entry.go
@@ -30,9 +30,6 @@
 	partialMargin  = 6 * time.Millisecond
 	maxInFlight    = 400
 	budgetFraction = 0.95
-	// bodyMemoryDivisor sets the memory for bodies of replies: that of the process divided by
-	// bodyMemoryDivisor.
-	bodyMemoryDivisor = 8
 	// serverRetentionTimeout is how long a backend server that no control instance
 	// receives announcements from stays in use. After a restart, a control instance
 	// learns the servers only gradually, as their announcements arrive.
@@ -68,7 +65,7 @@
 }
 
 func runEntry(ctx context.Context, se Settings, ls *liveSettings, di Dialect, lc link.Config, ts *timer.Service, lg *zap.Logger, mws []MetricsWriter) error {
-	up := upstream.New(upstream.Config{Names: di.HeaderNames().Upstream(), BodyMemory: se.Limits.MemoryMegabytes << 20 / bodyMemoryDivisor}, ts, lg)
+	up := upstream.New(upstream.Config{Names: di.HeaderNames().Upstream(), BodyMemory: se.bodyMemory()}, ts, lg)
 	en := newEntry(se, ls, di, lc, up, ts, lg)
 	li, err := listen(se.Listen.Callers)
 	if err != nil {
--- a/trail/visible.go
+++ b/trail/visible.go
@@ -52,6 +52,4 @@
 	}
 }
 
-func isInvisible(ru rune) bool {
-	return ru >= utf8.RuneSelf && !unicode.IsGraphic(ru) || ru < ' ' || ru == 0x7f
-}
+func isInvisible(ru rune) bool { return !unicode.IsGraphic(ru) }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -80,7 +80,7 @@
 
 // freeExchange keeps the buffers of an exchange for later ones.
 func (cl *Client) freeExchange(ex *exchange) {
-	cl.memory.release(ex.reserved)
+	cl.memory.Release(ex.reserved)
 	ex.reserved = 0
 	ex.po, ex.cn, ex.requestID, ex.bodyRest, ex.recycled = nil, nil, "", nil, nil
 	ex.rs, ex.body, ex.readBuf, ex.readErr, ex.ioErr = nil, nil, nil, nil, nil
--- a/upstream/reply.go
+++ b/upstream/reply.go
@@ -112,7 +112,7 @@
 // reports whether there is room for it.
 func (ex *exchange) growBody(maxBytes int) bool {
 	size := min(max(2*cap(ex.body), minBodyGrowth), max(maxBytes, cap(ex.body))+minBodyGrowth)
-	held, ok := ex.cl.memory.reserve(ex.reserved, size)
+	held, ok := ex.cl.memory.Reserve(ex.reserved, size)
 	if !ok {
 		return false
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamwinch.example/memory"
 	"balsamwinch.example/timer"
 )
 
@@ -195,7 +196,7 @@
 	ts *timer.Service
 	lg *zap.Logger
 
-	memory       bodyMemory
+	memory       *memory.Budget
 	exchangePool sync.Pool
 	replyPool    sync.Pool // recycled replies
 
@@ -207,7 +208,7 @@
 // New returns a client without open connections.
 func New(cf Config, ts *timer.Service, lg *zap.Logger) *Client {
 	cf = cf.withDefaults()
-	return &Client{cf: cf, ts: ts, lg: lg, memory: bodyMemory{limit: cf.BodyMemory}, pools: make(map[string]*pool)}
+	return &Client{cf: cf, ts: ts, lg: lg, memory: memory.New(cf.BodyMemory), pools: make(map[string]*pool)}
 }
 
 // Prepare writes the part of a request that is the same for all servers, for a request
